Add the design page and a thin path of separate processes

Cause: the repository was empty. The design page states every requirement and figure, the modules, the state and its owners, the messages and the behaviour under failure. The thin path runs it end to end: a caller, a node's caller side, the endpoint's node, the endpoint, documents and members through a table service with DynamoDB's API.

Before: nothing. After: `make smoke` passes 200 requests of 4 callers through 2 nodes while a third node is stopped, each answer checked against its own request; 16 cases of faulty documents and settings report every fault with file, field, value and reason.

--- /dev/null
+++ b/internal/administrator/administrator.go
@@ -0,0 +1,234 @@
+// Package administrator serves the administration API of a node.
+package administrator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/gentianlever/gentianlever/internal/announcer"
+	"github.com/gentianlever/gentianlever/internal/counter"
+	"github.com/gentianlever/gentianlever/internal/distributor"
+	"github.com/gentianlever/gentianlever/internal/storer"
+	"github.com/gentianlever/gentianlever/internal/validator"
+)
+
+// maxDocumentBytes leaves room for a change row's other fields within the 400 KB
+// that the table service accepts.
+const maxDocumentBytes = 200 << 10
+
+// headerEdit carries the identity of an edit, so that the same edit sent twice is
+// accepted once.
+const headerEdit = "Gentianlever-Edit"
+
+// Administrator serves the API. Set the exported fields before Handler.
+type Administrator struct {
+	Owners   []validator.Owner
+	Counters *counter.Counters
+	// Apply accepts an edit.
+	Apply func(ctx context.Context, e distributor.Edit) (distributor.Change, error)
+	// Current returns the change in force of a service.
+	Current func(service string) (distributor.Change, bool)
+	// Services returns the changes in force of all services.
+	Services func() []distributor.Change
+	// Status returns the state of the node.
+	Status func() Status
+}
+
+// Status is the state of a node.
+type Status struct {
+	Node      announcer.Member   `json:"node"`
+	Version   string             `json:"version"`
+	Documents []DocumentStatus   `json:"documents"`
+	Members   []announcer.Member `json:"members"`
+}
+
+// DocumentStatus is the version of a document in force on a node.
+type DocumentStatus struct {
+	Service   string `json:"service"`
+	Version   uint64 `json:"version"`
+	Withdrawn bool   `json:"withdrawn"`
+}
+
+// Document is the answer for one document.
+type Document struct {
+	Service   string          `json:"service"`
+	Version   uint64          `json:"version"`
+	Author    string          `json:"author"`
+	Time      string          `json:"time"`
+	Withdrawn bool            `json:"withdrawn"`
+	Document  json.RawMessage `json:"document,omitempty"`
+}
+
+// Fault is one fault of a refused document.
+type Fault struct {
+	Path   string `json:"path"`
+	Reason string `json:"reason"`
+}
+
+// Failure is the answer to a refused request.
+type Failure struct {
+	Error   string  `json:"error"`
+	Current uint64  `json:"current,omitempty"`
+	Faults  []Fault `json:"faults,omitempty"`
+}
+
+// Handler returns the handler of the API.
+func (a *Administrator) Handler() http.Handler {
+	router := httprouter.New()
+	router.GET("/healthz", func(http.ResponseWriter, *http.Request, httprouter.Params) {})
+	router.GET("/metrics", a.metrics)
+	router.GET("/v1/status", a.status)
+	router.GET("/v1/documents/:service", a.show)
+	router.PUT("/v1/documents/:service", a.put)
+	router.DELETE("/v1/documents/:service", a.withdraw)
+	return router
+}
+
+func respond[T any](w http.ResponseWriter, status int, body T) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (a *Administrator) metrics(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	_ = a.Counters.WriteText(w)
+}
+
+func (a *Administrator) status(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	respond(w, http.StatusOK, a.Status())
+}
+
+func (a *Administrator) show(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
+	c, ok := a.Current(params.ByName("service"))
+	if !ok {
+		respond(w, http.StatusNotFound, Failure{Error: "no document of that service was accepted"})
+		return
+	}
+	respond(w, http.StatusOK, describe(c))
+}
+
+func describe(c distributor.Change) Document {
+	return Document{
+		Service:   c.Service,
+		Version:   c.Version,
+		Author:    c.Author,
+		Time:      c.Time.Format("2006-01-02T15:04:05.000Z07:00"),
+		Withdrawn: c.Withdrawn,
+		Document:  c.Document,
+	}
+}
+
+func (a *Administrator) put(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDocumentBytes))
+	if err != nil {
+		respond(w, http.StatusRequestEntityTooLarge, Failure{Error: err.Error()})
+		return
+	}
+	d, err := validator.ParseDocument(params.ByName("service"), body)
+	if err != nil {
+		a.fail(w, err)
+		return
+	}
+	if d.Service != params.ByName("service") {
+		respond(w, http.StatusBadRequest, Failure{Error: "the document is of service " + strconv.Quote(d.Service)})
+		return
+	}
+	a.edit(w, r, distributor.Edit{
+		Service:  d.Service,
+		Author:   d.Owner,
+		Document: body,
+	})
+}
+
+func (a *Administrator) withdraw(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	c, ok := a.Current(params.ByName("service"))
+	if !ok {
+		respond(w, http.StatusNotFound, Failure{Error: "no document of that service was accepted"})
+		return
+	}
+	a.edit(w, r, distributor.Edit{
+		Service:  c.Service,
+		Author:   c.Author,
+		Document: c.Document,
+		Withdraw: true,
+	})
+}
+
+// edit checks the token and the base version of an edit and applies it.
+func (a *Administrator) edit(w http.ResponseWriter, r *http.Request, e distributor.Edit) {
+	if !a.authorized(r, e) {
+		respond(w, http.StatusForbidden, Failure{Error: "only the token of the document's owner may change it"})
+		return
+	}
+	base, err := strconv.ParseUint(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
+	if err != nil {
+		respond(w, http.StatusPreconditionRequired, Failure{Error: "If-Match must hold the version that the edit replaces, 0 for a new document"})
+		return
+	}
+	e.BaseVersion = base
+	e.EditID = r.Header.Get(headerEdit)
+	if e.EditID == "" {
+		respond(w, http.StatusBadRequest, Failure{Error: headerEdit + " must hold an identity of the edit"})
+		return
+	}
+	c, err := a.Apply(r.Context(), e)
+	if err != nil {
+		a.fail(w, err)
+		return
+	}
+	respond(w, http.StatusOK, describe(c))
+}
+
+// authorized reports whether the token is that of the document's owner, and of the
+// owner of the version in force if there is one.
+func (a *Administrator) authorized(r *http.Request, e distributor.Edit) bool {
+	token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	digest := sha256.Sum256([]byte(token))
+	owner := ""
+	for _, o := range a.Owners {
+		if subtle.ConstantTimeCompare(o.TokenSHA256[:], digest[:]) == 1 {
+			owner = o.Name
+		}
+	}
+	if owner == "" || owner != e.Author {
+		return false
+	}
+	c, ok := a.Current(e.Service)
+	return !ok || c.Author == owner
+}
+
+func (a *Administrator) fail(w http.ResponseWriter, err error) {
+	var faults *validator.FaultsError
+	var conflict *distributor.ConflictError
+	var unknown *storer.UnknownError
+	f := Failure{Error: err.Error()}
+	status := http.StatusServiceUnavailable
+	switch {
+	case errors.As(err, &faults):
+		status = http.StatusUnprocessableEntity
+		f.Error = "the document has faults"
+		for _, fault := range faults.Faults {
+			f.Faults = append(f.Faults, Fault{
+				Path:   fault.Path,
+				Reason: fault.Reason,
+			})
+		}
+	case errors.As(err, &conflict):
+		status = http.StatusConflict
+		f.Current = conflict.Current
+		a.Counters.Add(counter.DocumentConflicts, 1)
+	case errors.As(err, &unknown):
+		status = http.StatusGatewayTimeout
+	}
+	respond(w, status, f)
+}
--- /dev/null
+++ b/internal/commander/check.go
@@ -0,0 +1,101 @@
+package commander
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/gentianlever/gentianlever/internal/validator"
+)
+
+type checkArguments struct {
+	Files []string `arg:"positional,required" placeholder:"FILE" help:"documents and settings, in JSON"`
+}
+
+type fieldsArguments struct {
+	Kind string `arg:"positional,required" placeholder:"KIND" help:"document or settings"`
+}
+
+// check prints every fault of every file.
+func (c *Commander) check(args *checkArguments) error {
+	var faults []error
+	for _, file := range args.Files {
+		kind, err := checkFile(file)
+		if err != nil {
+			faults = append(faults, err)
+			continue
+		}
+		_, _ = fmt.Fprintf(c.Stdout, "%s %q: no faults\n", kind, file)
+	}
+	return errors.Join(faults...)
+}
+
+func checkFile(file string) (kind string, err error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", err
+	}
+	if isSettings(data) {
+		_, err := validator.ParseSettings(file, data)
+		return "settings", err
+	}
+	_, err = validator.ParseDocument(file, data)
+	return "document", err
+}
+
+// isSettings tells settings from a document by the fields that only settings have.
+func isSettings(data []byte) bool {
+	var members map[string]json.RawMessage
+	if json.Unmarshal(data, &members) != nil {
+		return false
+	}
+	for _, name := range []string{"nodes-address", "callers-address", "platform", "membership-key"} {
+		if _, ok := members[name]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// unknownKindError reports an argument that names no kind of input.
+type unknownKindError struct{ kind string }
+
+func (e *unknownKindError) Error() string {
+	return fmt.Sprintf("%q is neither document nor settings", e.kind)
+}
+
+// fields prints the field tables that drive the parser.
+func (c *Commander) fields(args *fieldsArguments) error {
+	var sections []validator.Section
+	switch args.Kind {
+	case "document":
+		sections = validator.DocumentSections()
+	case "settings":
+		sections = validator.SettingsSections()
+	default:
+		return &unknownKindError{kind: args.Kind}
+	}
+	for _, s := range sections {
+		for _, f := range s.Fields {
+			_, _ = fmt.Fprintln(c.Stdout, fieldLine(s.Path, f))
+		}
+	}
+	return nil
+}
+
+func fieldLine(path string, f validator.Field) string {
+	name := f.Name
+	if path != "" {
+		name = path + "." + f.Name
+	}
+	notes := f.Type
+	switch {
+	case f.Required:
+		notes += ", required"
+	case f.Default != "":
+		notes += ", default " + f.Default
+	}
+	return strings.Join([]string{name, "(" + notes + "):", f.Help}, " ")
+}
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,256 @@
+// Package runner builds a node from its settings and runs it.
+package runner
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/gentianlever/gentianlever/internal/administrator"
+	"github.com/gentianlever/gentianlever/internal/admitter"
+	"github.com/gentianlever/gentianlever/internal/announcer"
+	"github.com/gentianlever/gentianlever/internal/counter"
+	"github.com/gentianlever/gentianlever/internal/distributor"
+	"github.com/gentianlever/gentianlever/internal/exchanger"
+	"github.com/gentianlever/gentianlever/internal/forwarder"
+	"github.com/gentianlever/gentianlever/internal/persister"
+	"github.com/gentianlever/gentianlever/internal/picker"
+	"github.com/gentianlever/gentianlever/internal/validator"
+)
+
+const (
+	connectTimeout = time.Second
+	// exchangerIdle is less than serverIdle, so that a node never sends a request on
+	// a connection that the other node is closing.
+	exchangerIdle     = 30 * time.Second
+	serverIdle        = 60 * time.Second
+	readHeaderTimeout = 10 * time.Second
+	// defaultSlots serve until the first document is in force.
+	defaultSlots = 1
+)
+
+// Runner is one node. Set the exported fields before Run.
+type Runner struct {
+	Settings *validator.Settings
+	Version  string
+	Log      *slog.Logger
+
+	counters    counter.Counters
+	picker      picker.Picker
+	admitter    admitter.Admitter
+	announcer   announcer.Announcer
+	distributor distributor.Distributor
+}
+
+// Run serves until ctx ends and then shuts down gracefully: requests in flight are
+// finished first.
+func (n *Runner) Run(ctx context.Context) error {
+	n.build()
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	n.Log.Info("node is ready", "name", n.Settings.Name, "service", n.Settings.Service, "callers", n.Settings.CallersAddress.String())
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	p := pool.New().WithContext(background).WithCancelOnError().WithFirstError()
+	for _, l := range listeners {
+		p.Go(func(context.Context) error { return l.serve() })
+	}
+	p.Go(n.announcer.Run)
+	p.Go(n.distributor.Run)
+	p.Go(func(background context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-background.Done():
+		}
+		n.shutDown(listeners)
+		stop()
+		return nil
+	})
+	return p.Wait()
+}
+
+// shutDown finishes the requests in flight before it closes the listeners.
+func (n *Runner) shutDown(listeners []*listener) {
+	n.Log.Info("node is draining", "name", n.Settings.Name)
+	ctx := context.Background()
+	n.admitter.Drain()
+	n.announcer.Leave(ctx)
+	for _, l := range listeners {
+		if err := l.server.Shutdown(ctx); err != nil {
+			n.Log.Warn("listener did not close", "address", l.Addr().String(), "error", err)
+		}
+	}
+	n.Log.Info("node has stopped", "name", n.Settings.Name)
+}
+
+func (n *Runner) build() {
+	s := n.Settings
+	n.counters.Open()
+	table := persister.Table(s.Platform)
+	incarnation := uint64(time.Now().UnixNano())
+	n.picker = picker.Picker{
+		Seed:     incarnation,
+		Distance: s.Distance,
+	}
+	n.admitter = admitter.Admitter{
+		Slots:       defaultSlots,
+		LongSlots:   defaultSlots,
+		QueueLength: defaultSlots,
+		Incarnation: incarnation,
+	}
+	n.announcer = announcer.Announcer{
+		Self: announcer.Member{
+			ID:               s.Name,
+			Service:          s.Service,
+			AvailabilityZone: s.AvailabilityZone,
+			Region:           s.Region(s.AvailabilityZone),
+			Address:          s.NodesAddress,
+			AdminAddress:     s.AdminAddress,
+			Incarnation:      incarnation,
+		},
+		Table:   table,
+		Changed: n.membersChanged,
+	}
+	n.distributor = distributor.Distributor{
+		Table:   table,
+		Applied: n.documentApplied,
+	}
+}
+
+// membersChanged gives the picker the endpoints of each service.
+func (n *Runner) membersChanged(members []announcer.Member) {
+	services := map[string][]picker.Endpoint{}
+	for _, m := range members {
+		services[m.Service] = append(services[m.Service], picker.Endpoint{
+			ID:               m.ID,
+			Service:          m.Service,
+			AvailabilityZone: m.AvailabilityZone,
+			Region:           m.Region,
+			Address:          m.Address,
+			Incarnation:      m.Incarnation,
+			Draining:         m.Draining,
+		})
+	}
+	for service, endpoints := range services {
+		n.picker.SetEndpoints(service, endpoints)
+	}
+}
+
+// documentApplied puts the limits of the node's own service in force.
+func (n *Runner) documentApplied(c distributor.Change, d *validator.Document) {
+	n.counters.Add(counter.DocumentsApplied, 1)
+	n.Log.Info("document is in force", "service", c.Service, "version", c.Version, "withdrawn", c.Withdrawn)
+	if d != nil && d.Service == n.Settings.Service {
+		n.admitter.Resize(d.Endpoint.Slots, d.Endpoint.LongSlots(), d.Endpoint.QueueLength)
+	}
+}
+
+type listener struct {
+	net.Listener
+	server *http.Server
+}
+
+func (l *listener) serve() error {
+	if err := l.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve %s", l.Addr())
+	}
+	return nil
+}
+
+// listen binds every address, so that a node with a wrong one does not start.
+func (n *Runner) listen() ([]*listener, error) {
+	s := n.Settings
+	token := forwarder.NodeToken(s.MembershipKey)
+	bindings := []struct {
+		address string
+		handler http.Handler
+	}{
+		{
+			address: s.CallersAddress.String(),
+			handler: &forwarder.CallerSide{
+				NodeToken: token,
+				Document:  n.distributor.Document,
+				Picker:    &n.picker,
+				Exchanger: newExchanger(),
+				Counters:  &n.counters,
+			},
+		},
+		{
+			address: s.NodesAddress.String(),
+			handler: &forwarder.EndpointSide{
+				Service:   s.Service,
+				Endpoint:  s.EndpointAddress,
+				NodeToken: token,
+				Document:  n.distributor.Document,
+				Admitter:  &n.admitter,
+				Exchanger: newExchanger(),
+				Counters:  &n.counters,
+			},
+		},
+		{
+			address: s.AdminAddress.String(),
+			handler: n.administrator(),
+		},
+	}
+	var listeners []*listener
+	for _, b := range bindings {
+		l, err := net.Listen("tcp", b.address)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, errors.Wrapf(err, "settings: address %s can't be bound", b.address)
+		}
+		listeners = append(listeners, &listener{
+			Listener: l,
+			server: &http.Server{
+				Handler:           b.handler,
+				ReadHeaderTimeout: readHeaderTimeout,
+				IdleTimeout:       serverIdle,
+			},
+		})
+	}
+	return listeners, nil
+}
+
+func newExchanger() *exchanger.Exchanger {
+	return &exchanger.Exchanger{
+		ConnectTimeout: connectTimeout,
+		IdleTimeout:    exchangerIdle,
+	}
+}
+
+func (n *Runner) administrator() http.Handler {
+	a := &administrator.Administrator{
+		Owners:   n.Settings.Owners,
+		Counters: &n.counters,
+		Apply:    n.distributor.Apply,
+		Current:  n.distributor.Current,
+		Services: n.distributor.Services,
+		Status:   n.status,
+	}
+	return a.Handler()
+}
+
+func (n *Runner) status() administrator.Status {
+	status := administrator.Status{
+		Node:    n.announcer.Self,
+		Version: n.Version,
+		Members: n.announcer.Members(),
+	}
+	for _, c := range n.distributor.Services() {
+		status.Documents = append(status.Documents, administrator.DocumentStatus{
+			Service:   c.Service,
+			Version:   c.Version,
+			Withdrawn: c.Withdrawn,
+		})
+	}
+	return status
+}
--- /dev/null
+++ b/internal/validator/settings.go
@@ -0,0 +1,389 @@
+package validator
+
+import (
+	"encoding/base64"
+	"encoding/hex"
+	"log/slog"
+	"net/netip"
+	"time"
+)
+
+// Limits and defaults of settings.
+const (
+	minMembershipKeyBytes = 32
+	defaultZoneDistance   = time.Millisecond
+	defaultRegionDistance = 30 * time.Millisecond
+	maxDistance           = time.Second
+)
+
+// Settings are what a node reads once, at its start.
+type Settings struct {
+	// Name is the unique name of the node's VM.
+	Name string
+	// Service is the service of the node's endpoint.
+	Service string
+	// AvailabilityZone is one of AvailabilityZones.
+	AvailabilityZone  string
+	AvailabilityZones []AvailabilityZone
+	// CallersAddress takes calls of callers and of the local endpoint.
+	CallersAddress netip.AddrPort
+	// NodesAddress takes calls and messages of other nodes, TCP and UDP.
+	NodesAddress netip.AddrPort
+	// AdminAddress serves the administration API and the counters.
+	AdminAddress netip.AddrPort
+	// EndpointAddress is the address of the node's endpoint.
+	EndpointAddress netip.AddrPort
+	// Seeds are addresses of other nodes that are asked first; the table has the rest.
+	Seeds    []netip.AddrPort
+	Platform Platform
+	// MembershipKey authenticates messages between nodes.
+	MembershipKey []byte
+	Owners        []Owner
+	// ZoneDistance is the round-trip time between availability zones of a region.
+	ZoneDistance time.Duration
+	// RegionDistance is the round-trip time between regions.
+	RegionDistance time.Duration
+	LogLevel       slog.Level
+}
+
+// AvailabilityZone names an availability zone and its region.
+type AvailabilityZone struct {
+	Name   string
+	Region string
+}
+
+// Platform is the access to the table service and the object store.
+type Platform struct {
+	TableURL   string
+	Table      string
+	ObjectsURL string
+	Bucket     string
+	Region     string
+	AccessKey  string
+	SecretKey  string
+}
+
+// Owner is a team and the SHA-256 digest of its token.
+type Owner struct {
+	Name        string
+	TokenSHA256 [32]byte
+}
+
+// Region returns the region of an availability zone, empty for an unknown one.
+func (s *Settings) Region(zone string) string {
+	for _, z := range s.AvailabilityZones {
+		if z.Name == zone {
+			return z.Region
+		}
+	}
+	return ""
+}
+
+// Distance returns the round-trip time to an availability zone: zero to the
+// node's own.
+func (s *Settings) Distance(zone string) time.Duration {
+	switch {
+	case zone == s.AvailabilityZone:
+		return 0
+	case s.Region(zone) == s.Region(s.AvailabilityZone):
+		return s.ZoneDistance
+	default:
+		return s.RegionDistance
+	}
+}
+
+var settingsFields = []field[Settings]{
+	{
+		Field: Field{
+			Name:     "name",
+			Type:     "name",
+			Required: true,
+			Help:     "unique name of the node's VM",
+		},
+		set: func(v *value, s *Settings) { s.Name = v.name() },
+	},
+	{
+		Field: Field{
+			Name:     "service",
+			Type:     "name",
+			Required: true,
+			Help:     "service of the node's endpoint",
+		},
+		set: func(v *value, s *Settings) { s.Service = v.name() },
+	},
+	{
+		Field: Field{
+			Name:     "availability-zone",
+			Type:     "name",
+			Required: true,
+			Help:     "the node's availability zone, one of availability-zones",
+		},
+		set: func(v *value, s *Settings) { s.AvailabilityZone = v.name() },
+	},
+	{
+		Field: Field{
+			Name:     "availability-zones",
+			Type:     "list of objects",
+			Required: true,
+			Help:     "every availability zone (name) and its region",
+		},
+		set: func(v *value, s *Settings) {
+			s.AvailabilityZones = list(v, func(v *value) AvailabilityZone { return object(v, zoneFields) })
+		},
+	},
+	{
+		Field: Field{
+			Name:     "callers-address",
+			Type:     "address",
+			Required: true,
+			Help:     "IP address and port for callers and the local endpoint",
+		},
+		set: func(v *value, s *Settings) { s.CallersAddress = v.addrPort() },
+	},
+	{
+		Field: Field{
+			Name:     "nodes-address",
+			Type:     "address",
+			Required: true,
+			Help:     "IP address and port for other nodes, TCP and UDP",
+		},
+		set: func(v *value, s *Settings) { s.NodesAddress = v.addrPort() },
+	},
+	{
+		Field: Field{
+			Name:     "admin-address",
+			Type:     "address",
+			Required: true,
+			Help:     "IP address and port of the administration API and the counters",
+		},
+		set: func(v *value, s *Settings) { s.AdminAddress = v.addrPort() },
+	},
+	{
+		Field: Field{
+			Name:     "endpoint-address",
+			Type:     "address",
+			Required: true,
+			Help:     "IP address and port of the node's endpoint",
+		},
+		set: func(v *value, s *Settings) { s.EndpointAddress = v.addrPort() },
+	},
+	{
+		Field: Field{
+			Name: "seeds",
+			Type: "list of addresses",
+			Help: "nodes-addresses of other nodes to ask first",
+		},
+		set: func(v *value, s *Settings) { s.Seeds = list(v, (*value).addrPort) },
+	},
+	{
+		Field: Field{
+			Name:     "platform",
+			Type:     "object",
+			Required: true,
+			Help:     "table service and object store",
+		},
+		set: func(v *value, s *Settings) { s.Platform = object(v, platformFields) },
+	},
+	{
+		Field: Field{
+			Name:     "membership-key",
+			Type:     "base64",
+			Required: true,
+			Help:     "key of at least 32 bytes that authenticates messages between nodes",
+		},
+		set: func(v *value, s *Settings) { s.MembershipKey = v.base64(minMembershipKeyBytes) },
+	},
+	{
+		Field: Field{
+			Name: "owners",
+			Type: "list of objects",
+			Help: "teams (name) and the SHA-256 digests of their tokens (token-sha256, hexadecimal)",
+		},
+		set: func(v *value, s *Settings) {
+			s.Owners = list(v, func(v *value) Owner { return object(v, ownerFields) })
+		},
+	},
+	{
+		Field: Field{
+			Name:    "zone-distance",
+			Type:    "duration",
+			Default: defaultZoneDistance.String(),
+			Help:    "round-trip time between availability zones of a region",
+		},
+		set: func(v *value, s *Settings) { s.ZoneDistance = v.duration(maxDistance) },
+	},
+	{
+		Field: Field{
+			Name:    "region-distance",
+			Type:    "duration",
+			Default: defaultRegionDistance.String(),
+			Help:    "round-trip time between regions",
+		},
+		set: func(v *value, s *Settings) { s.RegionDistance = v.duration(maxDistance) },
+	},
+	{
+		Field: Field{
+			Name:    "log-level",
+			Type:    "debug, info, warn or error",
+			Default: "info",
+			Help:    "least level of log lines",
+		},
+		set: func(v *value, s *Settings) {
+			if word := v.oneOf("debug", "info", "warn", "error"); word != "" {
+				// The words are slog's own names of its levels.
+				_ = s.LogLevel.UnmarshalText([]byte(word))
+			}
+		},
+	},
+}
+
+var zoneFields = []field[AvailabilityZone]{
+	{
+		Field: Field{
+			Name:     "name",
+			Type:     "name",
+			Required: true,
+			Help:     "name of the availability zone",
+		},
+		set: func(v *value, z *AvailabilityZone) { z.Name = v.name() },
+	},
+	{
+		Field: Field{
+			Name:     "region",
+			Type:     "name",
+			Required: true,
+			Help:     "region of the availability zone",
+		},
+		set: func(v *value, z *AvailabilityZone) { z.Region = v.name() },
+	},
+}
+
+var platformFields = []field[Platform]{
+	{
+		Field: Field{
+			Name:     "table-url",
+			Type:     "URL",
+			Required: true,
+			Help:     "DynamoDB API of the table service",
+		},
+		set: func(v *value, p *Platform) { p.TableURL = v.httpURL() },
+	},
+	{
+		Field: Field{
+			Name:     "table",
+			Type:     "string",
+			Required: true,
+			Help:     "table with the string keys pk and sk",
+		},
+		set: func(v *value, p *Platform) { p.Table = v.text() },
+	},
+	{
+		Field: Field{
+			Name:     "objects-url",
+			Type:     "URL",
+			Required: true,
+			Help:     "S3 API of the object store",
+		},
+		set: func(v *value, p *Platform) { p.ObjectsURL = v.httpURL() },
+	},
+	{
+		Field: Field{
+			Name:     "bucket",
+			Type:     "string",
+			Required: true,
+			Help:     "bucket in the object store",
+		},
+		set: func(v *value, p *Platform) { p.Bucket = v.text() },
+	},
+	{
+		Field: Field{
+			Name:     "region",
+			Type:     "string",
+			Required: true,
+			Help:     "region name in request signatures",
+		},
+		set: func(v *value, p *Platform) { p.Region = v.text() },
+	},
+	{
+		Field: Field{
+			Name:     "access-key",
+			Type:     "string",
+			Required: true,
+			Help:     "access key of both services",
+		},
+		set: func(v *value, p *Platform) { p.AccessKey = v.text() },
+	},
+	{
+		Field: Field{
+			Name:     "secret-key",
+			Type:     "string",
+			Required: true,
+			Help:     "secret key of both services",
+		},
+		set: func(v *value, p *Platform) { p.SecretKey = v.text() },
+	},
+}
+
+var ownerFields = []field[Owner]{
+	{
+		Field: Field{
+			Name:     "name",
+			Type:     "name",
+			Required: true,
+			Help:     "name of the team",
+		},
+		set: func(v *value, o *Owner) { o.Name = v.name() },
+	},
+	{
+		Field: Field{
+			Name:     "token-sha256",
+			Type:     "hexadecimal",
+			Required: true,
+			Help:     "SHA-256 digest of the team's token",
+		},
+		set: func(v *value, o *Owner) { o.TokenSHA256 = v.digest() },
+	},
+}
+
+// base64 reads at least least bytes. The message leaves out the value, which is secret.
+func (v *value) base64(least int) []byte {
+	b, err := base64.StdEncoding.DecodeString(v.text())
+	if err != nil {
+		v.fault("not base64")
+		return nil
+	}
+	if len(b) < least {
+		v.fault("%d bytes are fewer than %d", len(b), least)
+	}
+	return b
+}
+
+func (v *value) digest() [32]byte {
+	var digest [32]byte
+	s := v.text()
+	b, err := hex.DecodeString(s)
+	if err != nil || len(b) != len(digest) {
+		v.fault("%q is not a SHA-256 digest of 64 hexadecimal digits", s)
+		return digest
+	}
+	copy(digest[:], b)
+	return digest
+}
+
+// ParseSettings reads settings. The error is a *FaultsError with every fault.
+// file is the name of the input for messages.
+func ParseSettings(file string, data []byte) (*Settings, error) {
+	return parse("settings", file, data, settingsFields, checkSettings)
+}
+
+func checkSettings(v *value, s *Settings) {
+	if s.ZoneDistance == 0 {
+		s.ZoneDistance = defaultZoneDistance
+	}
+	if s.RegionDistance == 0 {
+		s.RegionDistance = defaultRegionDistance
+	}
+	if s.AvailabilityZone != "" && len(s.AvailabilityZones) > 0 && s.Region(s.AvailabilityZone) == "" {
+		v.child("availability-zone", nil).fault("%q is not one of availability-zones", s.AvailabilityZone)
+	}
+}
--- /dev/null
+++ b/internal/validator/validator_test.go
@@ -0,0 +1,62 @@
+package validator_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianlever/gentianlever/internal/validator"
+)
+
+// Guards against a fault in an input that is not reported, or is reported without
+// its field: each folder below test/cases holds an input and the expected errors.
+func TestCases(t *testing.T) {
+	kinds := []struct {
+		folder string
+		parse  func(data []byte) error
+	}{
+		{
+			folder: "document",
+			parse: func(data []byte) error {
+				_, err := validator.ParseDocument("input.json", data)
+				return err
+			},
+		},
+		{
+			folder: "settings",
+			parse: func(data []byte) error {
+				_, err := validator.ParseSettings("input.json", data)
+				return err
+			},
+		},
+	}
+	for _, kind := range kinds {
+		dirs, err := filepath.Glob(filepath.Join("../../test/cases", kind.folder, "*"))
+		is.New(t).NoErr(err)
+		is.New(t).True(len(dirs) > 0)
+		for _, dir := range dirs {
+			t.Run(filepath.Base(dir), func(t *testing.T) {
+				is := is.New(t)
+				data, err := os.ReadFile(filepath.Join(dir, "input.json"))
+				is.NoErr(err)
+				expected, err := os.ReadFile(filepath.Join(dir, "expected-errors.txt"))
+				is.NoErr(err)
+				is.Equal(message(kind.parse(data)), string(expected))
+			})
+		}
+	}
+}
+
+func message(err error) string {
+	if err == nil {
+		return ""
+	}
+	var faults *validator.FaultsError
+	if !errors.As(err, &faults) {
+		return "not a FaultsError: " + err.Error()
+	}
+	return faults.Error() + "\n"
+}
--- /dev/null
+++ b/test/run/main.go
@@ -0,0 +1,66 @@
+// Command run starts a working set on loopback: a stand-in of the platform, three
+// endpoints in three availability zones, a node beside each, and one document that
+// is accepted through the administration API. An interrupt stops all of it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/gentianlever/gentianlever/test/launcher"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "run:", err)
+		os.Exit(1)
+	}
+}
+
+func run() (err error) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	dir, err := os.MkdirTemp("", "gentianlever-run-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	s := &launcher.Set{
+		Dir:      dir,
+		Services: []string{"proof-viewer", "proof-viewer", "proof-viewer"},
+	}
+	if err := s.Build("."); err != nil {
+		return err
+	}
+	defer func() {
+		if stopErr := s.Stop(); err == nil {
+			err = stopErr
+		}
+	}()
+	if err := s.Start(); err != nil {
+		return err
+	}
+	if err := s.Apply(s.Nodes[0], "proof-viewer", launcher.ProofViewer, 0); err != nil {
+		return err
+	}
+	describe(s)
+	<-ctx.Done()
+	fmt.Println("run: stopping")
+	return nil
+}
+
+func describe(s *launcher.Set) {
+	fmt.Printf("platform  %s\n", s.Platform)
+	for _, n := range s.Nodes {
+		fmt.Printf("%s      callers %s  admin %s  endpoint %s\n", n.Name, n.Callers, n.Admin, n.Endpoint)
+	}
+	fmt.Println("try:")
+	fmt.Printf("  curl -H 'Host: proofs.irbid.example' http://%s/proofs/7\n", s.Nodes[0].Callers)
+	fmt.Printf("  curl -H 'Host: proofs.irbid.example' -H 'Idempotency-Key: k1' -X POST http://%s/sign-off\n", s.Nodes[0].Callers)
+	fmt.Printf("  curl http://%s/v1/status\n", s.Nodes[0].Admin)
+	fmt.Printf("  curl http://%s/metrics\n", s.Nodes[0].Admin)
+	fmt.Println("interrupt (Ctrl-C) stops all of it")
+}
--- /dev/null
+++ b/test/standins/endpoint/main.go
@@ -0,0 +1,116 @@
+// Command endpoint is a stand-in for a server: it answers each request with a
+// description of it, after a service time, and runs at most a number of slots at once.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+)
+
+type arguments struct {
+	Listen  string        `arg:"--listen" default:"127.0.0.1:8200" help:"address"`
+	Name    string        `arg:"--name" default:"endpoint" help:"name in the answers"`
+	Service time.Duration `arg:"--service-time" default:"2ms" help:"time that a request takes"`
+}
+
+// answer describes a request as the endpoint saw it.
+type answer struct {
+	Endpoint string `json:"endpoint"`
+	Method   string `json:"method"`
+	Path     string `json:"path"`
+	Query    string `json:"query,omitempty"`
+	Key      string `json:"idempotency-key,omitempty"`
+	Bytes    int64  `json:"bytes"`
+	Run      int64  `json:"run"`
+}
+
+type endpoint struct {
+	args     arguments
+	runs     atomic.Int64
+	inFlight atomic.Int64
+	peak     atomic.Int64
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	e := &endpoint{args: args}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/stats", e.stats)
+	mux.HandleFunc("/", e.serve)
+	s := &http.Server{
+		Addr:    args.Listen,
+		Handler: mux,
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	go func() {
+		<-ctx.Done()
+		_ = s.Shutdown(context.Background())
+	}()
+	if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		slog.Error("endpoint stand-in stops", "error", err)
+		os.Exit(1)
+	}
+}
+
+func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	run := e.runs.Add(1)
+	n := e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	for {
+		peak := e.peak.Load()
+		if n <= peak || e.peak.CompareAndSwap(peak, n) {
+			break
+		}
+	}
+	size, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		return
+	}
+	select {
+	case <-time.After(e.serviceTime(r)):
+	case <-r.Context().Done():
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer{
+		Endpoint: e.args.Name,
+		Method:   r.Method,
+		Path:     r.URL.Path,
+		Query:    r.URL.RawQuery,
+		Key:      r.Header.Get("Idempotency-Key"),
+		Bytes:    size,
+		Run:      run,
+	})
+}
+
+// serviceTime is the default, or the query parameter sleep-ms.
+func (e *endpoint) serviceTime(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.URL.Query().Get("sleep-ms"))
+	if err != nil {
+		return e.args.Service
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+func (e *endpoint) stats(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(map[string]int64{
+		"runs":      e.runs.Load(),
+		"in-flight": e.inFlight.Load(),
+		"peak":      e.peak.Load(),
+	})
+}
