--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 # The race detector on the packages that share state between goroutines.
 race:
 	go test -race ./internal/...
+
+generate:
+	go test ./internal/documenter -run TestReferencePage -update
--- a/internal/commander/node.go
+++ b/internal/commander/node.go
@@ -16,7 +16,7 @@
 )
 
 type nodeArguments struct {
-	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings of the node, in JSON"`
+	Settings string `arg:"--settings,required" help:"settings of the node, in JSON"`
 }
 
 type versionArguments struct{}
