--- a/test/launcher/set.go
+++ b/test/launcher/set.go
@@ -51,8 +51,13 @@
 
 // Set is a working set of processes. Set the exported fields before Start.
 type Set struct {
-	// Dir holds programs, settings and logs.
+	// Dir holds settings and logs, and the programs unless Programs is set.
 	Dir string
+	// Programs is a folder with the built programs; empty means Dir/bin.
+	Programs string
+	// NoEndpoints leaves out the endpoint stand-ins, as for tests with endpoints of
+	// their own at each Node.Endpoint.
+	NoEndpoints bool
 	// Services are the services of the nodes, one for each node.
 	Services []string
 	// TableAddress replaces the stand-in's address in the settings of nodes, as for
@@ -83,6 +88,9 @@
 }
 
 func (s *Set) program(name string) string {
+	if s.Programs != "" {
+		return filepath.Join(s.Programs, name)
+	}
 	return filepath.Join(s.Dir, "bin", name)
 }
 
@@ -124,7 +132,7 @@
 			return err
 		}
 		s.Nodes = append(s.Nodes, n)
-		if err := s.StartEndpoint(n); err != nil {
+		if err := s.startEndpointUnlessNone(n); err != nil {
 			return err
 		}
 		if err := s.StartNode(n); err != nil {
@@ -204,6 +212,13 @@
 	return settings
 }
 
+func (s *Set) startEndpointUnlessNone(n *Node) error {
+	if s.NoEndpoints {
+		return nil
+	}
+	return s.StartEndpoint(n)
+}
+
 // StartEndpoint starts the endpoint of a node.
 func (s *Set) StartEndpoint(n *Node) error {
 	args := append([]string{"--listen", n.Endpoint.String(), "--name", n.Name}, s.EndpointArguments...)
