Inject faults in the platform stand-in; classify write errors exactly

Cause: the stand-in could not fail, so no test could show what a lost response or a late write does. The persister took a cancelled transaction, a 4xx with an unreadable body and a 503 by the error's type only, and Query stopped at the service's 1 MB page.

The stand-in's handler moves to the package simulator, so that tests run it in-process. The persister now derives 'not applied' from the HTTP status, the throttling codes, and whether the request ever got a connection. 408 and TransactionInProgressException stay unknown: the write may still apply.

Ruled out: reading the error fault of the decoded type; it is unknown for error codes that the client library has no type for.

--- a/internal/persister/objects.go
+++ b/internal/persister/objects.go
@@ -12,17 +12,17 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3/types"
 
 	"github.com/gentianlever/gentianlever/internal/storer"
-	"github.com/gentianlever/gentianlever/internal/validator"
 )
 
 // Objects opens the object store.
-func Objects(p validator.Platform) storer.Objects {
+func (p *Persister) Objects() storer.Objects {
 	o := &objects{
-		bucket: p.Bucket,
+		persister: p,
+		bucket:    p.Platform.Bucket,
 		client: s3.New(s3.Options{
-			BaseEndpoint:               aws.String(p.ObjectsURL),
-			Region:                     p.Region,
-			Credentials:                credentials.NewStaticCredentialsProvider(p.AccessKey, p.SecretKey, ""),
+			BaseEndpoint:               aws.String(p.Platform.ObjectsURL),
+			Region:                     p.Platform.Region,
+			Credentials:                credentials.NewStaticCredentialsProvider(p.Platform.AccessKey, p.Platform.SecretKey, ""),
 			UsePathStyle:               true,
 			RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
 			Retryer:                    aws.NopRetryer{},
@@ -35,38 +35,43 @@
 }
 
 type objects struct {
-	bucket string
-	client *s3.Client
+	persister *Persister
+	bucket    string
+	client    *s3.Client
 }
 
 func (o *objects) put(ctx context.Context, name string, body []byte) error {
-	_, err := o.client.PutObject(ctx, &s3.PutObjectInput{
-		Bucket: aws.String(o.bucket),
-		Key:    aws.String(name),
-		Body:   bytes.NewReader(body),
+	return o.persister.write(ctx, "put object", func(ctx context.Context) error {
+		_, err := o.client.PutObject(ctx, &s3.PutObjectInput{
+			Bucket: aws.String(o.bucket),
+			Key:    aws.String(name),
+			Body:   bytes.NewReader(body),
+		})
+		return err
 	})
-	if err != nil {
-		return writeError("put object", err)
-	}
-	return nil
 }
 
 func (o *objects) get(ctx context.Context, name string) ([]byte, error) {
-	out, err := o.client.GetObject(ctx, &s3.GetObjectInput{
-		Bucket: aws.String(o.bucket),
-		Key:    aws.String(name),
+	var body []byte
+	missing := false
+	err := o.persister.read(ctx, "get object", func(ctx context.Context) error {
+		out, err := o.client.GetObject(ctx, &s3.GetObjectInput{
+			Bucket: aws.String(o.bucket),
+			Key:    aws.String(name),
+		})
+		var none *types.NoSuchKey
+		if missing = errors.As(err, &none); missing {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		defer func() { _ = out.Body.Close() }()
+		body, err = io.ReadAll(out.Body)
+		return err
 	})
-	var missing *types.NoSuchKey
-	if errors.As(err, &missing) {
-		return nil, &storer.NotFoundError{Name: name}
-	}
-	if err != nil {
-		return nil, readError("get object", err)
-	}
-	defer func() { _ = out.Body.Close() }()
-	body, err := io.ReadAll(out.Body)
-	if err != nil {
-		return nil, readError("get object", err)
+	if err == nil && missing {
+		err = &storer.NotFoundError{Name: name}
 	}
-	return body, nil
+	return body, err
 }
--- a/internal/persister/table.go
+++ b/internal/persister/table.go
@@ -1,11 +1,7 @@
-// Package persister is the adapter from the storer port to a table service with
-// DynamoDB's API and an object store with S3's API.
 package persister
 
 import (
 	"context"
-	"errors"
-	"net"
 	"strconv"
 	"time"
 
@@ -13,10 +9,8 @@
 	"github.com/aws/aws-sdk-go-v2/credentials"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
-	"github.com/aws/smithy-go"
 
 	"github.com/gentianlever/gentianlever/internal/storer"
-	"github.com/gentianlever/gentianlever/internal/validator"
 )
 
 // Attribute names of a row in the table.
@@ -29,13 +23,14 @@
 )
 
 // Table opens the table service.
-func Table(p validator.Platform) storer.Table {
+func (p *Persister) Table() storer.Table {
 	t := &table{
-		name: p.Table,
+		persister: p,
+		name:      p.Platform.Table,
 		client: dynamodb.New(dynamodb.Options{
-			BaseEndpoint: aws.String(p.TableURL),
-			Region:       p.Region,
-			Credentials:  credentials.NewStaticCredentialsProvider(p.AccessKey, p.SecretKey, ""),
+			BaseEndpoint: aws.String(p.Platform.TableURL),
+			Region:       p.Platform.Region,
+			Credentials:  credentials.NewStaticCredentialsProvider(p.Platform.AccessKey, p.Platform.SecretKey, ""),
 			// A second send of a conditional write whose first answer was lost would
 			// fail its own condition, so the client must not retry.
 			Retryer: aws.NopRetryer{},
@@ -49,30 +44,33 @@
 }
 
 type table struct {
-	name   string
-	client *dynamodb.Client
+	persister *Persister
+	name      string
+	client    *dynamodb.Client
 }
 
 func (t *table) get(ctx context.Context, k storer.Key) (storer.Row, bool, error) {
-	out, err := t.client.GetItem(ctx, &dynamodb.GetItemInput{
-		TableName:      aws.String(t.name),
-		Key:            key(k),
-		ConsistentRead: aws.Bool(true),
+	var out *dynamodb.GetItemOutput
+	err := t.persister.read(ctx, "get", func(ctx context.Context) (err error) {
+		out, err = t.client.GetItem(ctx, &dynamodb.GetItemInput{
+			TableName:      aws.String(t.name),
+			Key:            key(k),
+			ConsistentRead: aws.Bool(true),
+		})
+		return err
 	})
-	if err != nil {
-		return storer.Row{}, false, readError("get", err)
-	}
-	if len(out.Item) == 0 {
-		return storer.Row{}, false, nil
+	if err != nil || len(out.Item) == 0 {
+		return storer.Row{}, false, err
 	}
 	return row(out.Item), true, nil
 }
 
+// query reads pages until it has limit rows. The service ends a page after 1 MB,
+// so a page may be short although more rows follow.
 func (t *table) query(ctx context.Context, partition, after string, limit int) ([]storer.Row, error) {
 	in := &dynamodb.QueryInput{
 		TableName:              aws.String(t.name),
 		ConsistentRead:         aws.Bool(true),
-		Limit:                  aws.Int32(int32(limit)),
 		KeyConditionExpression: aws.String("pk = :p"),
 		ExpressionAttributeValues: map[string]types.AttributeValue{
 			":p": &types.AttributeValueMemberS{Value: partition},
@@ -82,13 +80,24 @@
 		in.KeyConditionExpression = aws.String("pk = :p AND sk > :s")
 		in.ExpressionAttributeValues[":s"] = &types.AttributeValueMemberS{Value: after}
 	}
-	out, err := t.client.Query(ctx, in)
-	if err != nil {
-		return nil, readError("query", err)
-	}
-	rows := make([]storer.Row, 0, len(out.Items))
-	for _, item := range out.Items {
-		rows = append(rows, row(item))
+	var rows []storer.Row
+	for len(rows) < limit {
+		in.Limit = aws.Int32(int32(limit - len(rows)))
+		var out *dynamodb.QueryOutput
+		err := t.persister.read(ctx, "query", func(ctx context.Context) (err error) {
+			out, err = t.client.Query(ctx, in)
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+		for _, item := range out.Items {
+			rows = append(rows, row(item))
+		}
+		if len(out.LastEvaluatedKey) == 0 {
+			break
+		}
+		in.ExclusiveStartKey = out.LastEvaluatedKey
 	}
 	return rows, nil
 }
@@ -98,13 +107,12 @@
 	for _, w := range writes {
 		items = append(items, t.item(w))
 	}
-	_, err := t.client.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{
-		TransactItems: items,
+	return t.persister.write(ctx, "write", func(ctx context.Context) error {
+		_, err := t.client.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{
+			TransactItems: items,
+		})
+		return err
 	})
-	if err != nil {
-		return writeError("write", err)
-	}
-	return nil
 }
 
 func (t *table) item(w storer.Write) types.TransactWriteItem {
@@ -198,35 +206,3 @@
 	}
 	return u
 }
-
-func readError(operation string, err error) error {
-	return &storer.UnavailableError{
-		Operation: operation,
-		Cause:     err,
-	}
-}
-
-// writeError sorts the errors of a write by whether it may have taken effect.
-func writeError(operation string, err error) error {
-	var cancelled *types.TransactionCanceledException
-	if errors.As(err, &cancelled) {
-		for i, reason := range cancelled.CancellationReasons {
-			if aws.ToString(reason.Code) == "ConditionalCheckFailed" {
-				return &storer.ConditionError{Index: i}
-			}
-		}
-		return readError(operation, err)
-	}
-	var api smithy.APIError
-	if errors.As(err, &api) && api.ErrorFault() == smithy.FaultClient {
-		return readError(operation, err)
-	}
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return readError(operation, err)
-	}
-	return &storer.UnknownError{
-		Operation: operation,
-		Cause:     err,
-	}
-}
--- a/test/standins/platform/main.go
+++ b/test/standins/platform/main.go
@@ -1,6 +1,5 @@
-// Command platform is a stand-in for the platform's table service (a subset of
-// DynamoDB's JSON API) and object store (a subset of S3's API). It keeps all data
-// in memory.
+// Command platform is a stand-in for the platform's table service and object store.
+// It keeps all data in memory and injects faults on request.
 package main
 
 import (
@@ -9,21 +8,28 @@
 	"os"
 
 	"github.com/alexflint/go-arg"
+
+	"github.com/gentianlever/gentianlever/test/standins/platform/simulator"
 )
 
 type arguments struct {
-	Listen string `arg:"--listen" default:"127.0.0.1:8100" help:"address of both services"`
+	Listen  string `arg:"--listen" default:"127.0.0.1:8100" help:"address of both services"`
+	Control string `arg:"--control" help:"address of the control API; none without it"`
 }
 
 func main() {
 	var args arguments
 	arg.MustParse(&args)
-	p := &platform{
-		rows:    map[rowKey]item{},
-		objects: map[string][]byte{},
+	p := &simulator.Platform{}
+	if args.Control != "" {
+		go serve(args.Control, p.Control())
 	}
-	slog.Info("platform stand-in is ready", "address", args.Listen)
-	if err := http.ListenAndServe(args.Listen, p); err != nil {
+	slog.Info("platform stand-in is ready", "address", args.Listen, "control", args.Control)
+	serve(args.Listen, p)
+}
+
+func serve(address string, h http.Handler) {
+	if err := http.ListenAndServe(address, h); err != nil {
 		slog.Error("platform stand-in stops", "error", err)
 		os.Exit(1)
 	}
