Complete the picker: score, ejection, slow start, slowdown detection

Cause: the thin picker compared only its own outstanding requests. It kept sending to an endpoint that fails fast, saw a slowdown only through its own queue, and ignored the load reports.

The score is estimated service time * (1 + load per slot) + zone distance. A report that ages moves towards the service's average load, because a discount towards zero would make the least known endpoint look idle. Service times within a factor of 1.5 of the service's average count as equal, because the moving average of exponential times varies by about 18% and would outweigh the load. Pick takes a Request, so that long requests stay out of the latency figures.

Conclusion: all mechanisms stay, each with a switch.

--- a/internal/forwarder/callerside.go
+++ b/internal/forwarder/callerside.go
@@ -100,7 +100,11 @@
 
 // attempt sends the call to one endpoint's node.
 func (s *CallerSide) attempt(ctx context.Context, r *http.Request, c *call) (*http.Response, *picker.Attempt, error) {
-	a, err := s.Picker.Pick(c.service, c.tried)
+	a, err := s.Picker.Pick(picker.Request{
+		Service:  c.service,
+		Excluded: c.tried,
+		Long:     c.route.Class == validator.Long,
+	})
 	if err != nil {
 		return nil, nil, err
 	}
--- /dev/null
+++ b/internal/picker/picker_test.go
@@ -0,0 +1,209 @@
+package picker_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianlever/gentianlever/internal/picker"
+	"github.com/gentianlever/gentianlever/internal/refuser"
+	"github.com/gentianlever/gentianlever/internal/reporter"
+)
+
+func endpoints(n int, incarnation uint64) []picker.Endpoint {
+	list := make([]picker.Endpoint, n)
+	for i := range list {
+		list[i] = picker.Endpoint{
+			ID:               fmt.Sprint(i),
+			AvailabilityZone: fmt.Sprint("zone-", i),
+			Incarnation:      incarnation,
+		}
+	}
+	return list
+}
+
+// shares ends n attempts after a millisecond each and counts them by endpoint.
+func shares(p *picker.Picker, n int, outcome func(id string) picker.Outcome) map[string]int {
+	counts := map[string]int{}
+	for range n {
+		a, err := p.Pick(picker.Request{Service: "proofs"})
+		if err != nil {
+			continue
+		}
+		counts[a.Endpoint.ID]++
+		time.Sleep(time.Millisecond)
+		a.Report(reporter.Load{
+			Slots:       12,
+			ServiceTime: time.Millisecond,
+		})
+		a.Done(outcome(a.Endpoint.ID))
+	}
+	return counts
+}
+
+func succeed(string) picker.Outcome { return picker.Succeeded }
+
+func failZero(id string) picker.Outcome {
+	if id == "0" {
+		return picker.Failed
+	}
+	return picker.Succeeded
+}
+
+// Guards against an ejected endpoint that never returns, and against trials that run
+// at the same time or take traffic before one has succeeded.
+func TestEjectionAndTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &picker.Picker{
+			Seed:           1,
+			NoErrorPenalty: true,
+		}
+		p.SetEndpoints("proofs", endpoints(4, 1))
+		is.Equal(shares(p, 500, failZero)["0"], 3)
+		time.Sleep(time.Second)
+		trial, err := p.Pick(picker.Request{Service: "proofs"})
+		is.NoErr(err)
+		is.Equal(trial.Endpoint.ID, "0")
+		is.Equal(shares(p, 100, succeed)["0"], 0)
+		trial.Done(picker.Failed)
+		time.Sleep(1900 * time.Millisecond)
+		is.Equal(shares(p, 50, succeed)["0"], 0)
+		time.Sleep(100 * time.Millisecond)
+		is.True(shares(p, 400, succeed)["0"] > 50)
+	})
+}
+
+// Guards against a service without endpoints because all of them failed at once.
+func TestAtMostHalfEjected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &picker.Picker{NoErrorPenalty: true}
+		p.SetEndpoints("proofs", endpoints(4, 1))
+		shares(p, 100, func(string) picker.Outcome { return picker.Failed })
+		is.Equal(len(shares(p, 100, succeed)), 2)
+	})
+}
+
+// Guards against a new incarnation that gets a full share at once, and against a
+// draining endpoint that returns before its incarnation changes.
+func TestIncarnations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for _, noSlowStart := range []bool{false, true} {
+			p := &picker.Picker{NoSlowStart: noSlowStart}
+			p.SetEndpoints("proofs", endpoints(2, 1))
+			shares(p, 10, succeed)
+			a, err := p.Pick(picker.Request{
+				Service:  "proofs",
+				Excluded: []string{"1"},
+			})
+			is.NoErr(err)
+			a.Report(reporter.Load{
+				Slots:    12,
+				Draining: true,
+			})
+			a.Report(reporter.Load{Slots: 12})
+			a.Done(picker.Refused)
+			is.Equal(shares(p, 10, succeed)["0"], 0)
+			restarted := endpoints(2, 1)
+			restarted[0].Incarnation = 2
+			p.SetEndpoints("proofs", restarted)
+			held := map[string]int{}
+			for range 24 {
+				a, err := p.Pick(picker.Request{Service: "proofs"})
+				is.NoErr(err)
+				held[a.Endpoint.ID]++
+			}
+			is.Equal(held["0"] < 6, !noSlowStart)
+		}
+	})
+}
+
+// Guards against an endpoint that looks slow because it runs an upload.
+func TestLongRequestsAreNotSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &picker.Picker{}
+		p.SetEndpoints("proofs", endpoints(2, 1))
+		shares(p, 100, succeed)
+		long, err := p.Pick(picker.Request{
+			Service: "proofs",
+			Long:    true,
+		})
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		counts := shares(p, 200, succeed)
+		is.True(counts[long.Endpoint.ID] > 50)
+		long.Done(picker.Succeeded)
+	})
+}
+
+// Guards against calls that leave their zone without need, and against a least load
+// that is the chosen endpoint's own or too old to act on.
+func TestDistanceAndLeastLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &picker.Picker{
+			Distance: func(zone string) time.Duration {
+				if zone == "zone-0" {
+					return 0
+				}
+				return 3 * time.Millisecond
+			},
+		}
+		p.SetEndpoints("proofs", endpoints(2, 1))
+		is.Equal(shares(p, 20, succeed)["1"], 0)
+		other, err := p.Pick(picker.Request{
+			Service:  "proofs",
+			Excluded: []string{"0"},
+		})
+		is.NoErr(err)
+		other.Report(reporter.Load{
+			InFlight: 7,
+			Slots:    12,
+		})
+		other.Done(picker.Succeeded)
+		a, err := p.Pick(picker.Request{Service: "proofs"})
+		is.NoErr(err)
+		is.Equal(a.Endpoint.ID, "0")
+		is.True(a.LeastLoad > 0.4 && a.LeastLoad < 0.6)
+		time.Sleep(time.Second)
+		a, err = p.Pick(picker.Request{Service: "proofs"})
+		is.NoErr(err)
+		is.True(a.LeastLoad < 0)
+	})
+}
+
+// Guards against an endless search where every endpoint was tried.
+func TestNoEndpoint(t *testing.T) {
+	is := is.New(t)
+	p := &picker.Picker{}
+	p.SetEndpoints("proofs", endpoints(1, 1))
+	_, err := p.Pick(picker.Request{
+		Service:  "proofs",
+		Excluded: []string{"0"},
+	})
+	var refusal *refuser.Refusal
+	is.True(errors.As(err, &refusal))
+	is.Equal(refusal.Reason, refuser.NoEndpoint)
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{4, 12, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := &picker.Picker{}
+			p.SetEndpoints("proofs", endpoints(n, 1))
+			shares(p, 4*n, succeed)
+			b.ReportAllocs()
+			for b.Loop() {
+				a, _ := p.Pick(picker.Request{Service: "proofs"})
+				a.Done(picker.Succeeded)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/picker/simulation_test.go
@@ -0,0 +1,229 @@
+package picker_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gentianlever/gentianlever/internal/picker"
+	"github.com/gentianlever/gentianlever/internal/reporter"
+)
+
+// simulation runs pickers against fake endpoints on one goroutine in virtual time,
+// so that a seed gives the same figures on every machine.
+type simulation struct {
+	callers   []*picker.Picker
+	endpoints []*fake
+	load      float64
+	length    time.Duration
+	// from is when measuring begins; fault is applied at faultAt.
+	from    time.Duration
+	faultAt time.Duration
+	fault   func(e *fake)
+
+	random    *rand.Rand
+	begin     time.Time
+	events    events
+	latencies []time.Duration
+	failed    int
+}
+
+const (
+	meanService = 5 * time.Millisecond
+	fakeSlots   = 12
+	network     = 200 * time.Microsecond
+)
+
+type fake struct {
+	busy  int
+	queue []func()
+	slow  time.Duration
+	fails bool
+	lies  bool
+	// served counts requests that arrived after measuring began.
+	served int
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (s *simulation) after(d time.Duration, do func()) {
+	heap.Push(&s.events, event{
+		at: time.Now().Add(d),
+		do: do,
+	})
+}
+
+func (s *simulation) exponential(mean time.Duration) time.Duration {
+	return time.Duration(s.random.ExpFloat64() * float64(mean))
+}
+
+func (s *simulation) run() {
+	s.begin = time.Now()
+	list := make([]picker.Endpoint, len(s.endpoints))
+	for i := range list {
+		list[i] = picker.Endpoint{
+			ID:          fmt.Sprint(i),
+			Incarnation: 1,
+		}
+	}
+	for _, p := range s.callers {
+		p.SetEndpoints("proofs", list)
+	}
+	if s.fault != nil {
+		s.after(s.faultAt, func() { s.fault(s.endpoints[0]) })
+	}
+	s.arrivals()
+	for len(s.events) > 0 {
+		next := heap.Pop(&s.events).(event)
+		time.Sleep(time.Until(next.at))
+		next.do()
+	}
+}
+
+// arrivals is an open loop: the time of the next call doesn't depend on answers.
+func (s *simulation) arrivals() {
+	if time.Since(s.begin) > s.length {
+		return
+	}
+	s.call(s.callers[s.random.IntN(len(s.callers))], time.Now(), nil)
+	s.after(s.exponential(time.Duration(float64(meanService)/(s.load*float64(fakeSlots*len(s.endpoints))))), s.arrivals)
+}
+
+func (s *simulation) call(p *picker.Picker, intended time.Time, excluded []string) {
+	a, err := p.Pick(picker.Request{
+		Service:  "proofs",
+		Excluded: excluded,
+	})
+	if err != nil {
+		return
+	}
+	var i int
+	_, _ = fmt.Sscan(a.Endpoint.ID, &i)
+	e := s.endpoints[i]
+	if time.Since(s.begin) > s.from {
+		e.served++
+	}
+	s.after(network, func() {
+		if e.fails {
+			s.failed++
+			a.Done(picker.Failed)
+			s.call(p, intended, append(excluded, a.Endpoint.ID))
+			return
+		}
+		e.arrive(s, func(l reporter.Load) {
+			s.after(network, func() {
+				a.Report(l)
+				a.Done(picker.Succeeded)
+				if intended.Sub(s.begin) > s.from {
+					s.latencies = append(s.latencies, time.Since(intended))
+				}
+			})
+		})
+	})
+}
+
+func (e *fake) arrive(s *simulation, answer func(reporter.Load)) {
+	start := func() {
+		e.busy++
+		s.after(s.exponential(meanService)*max(1, e.slow), func() {
+			answer(e.report())
+			e.busy--
+			if len(e.queue) > 0 {
+				next := e.queue[0]
+				e.queue = e.queue[1:]
+				next()
+			}
+		})
+	}
+	if e.busy < fakeSlots {
+		start()
+		return
+	}
+	e.queue = append(e.queue, start)
+}
+
+func (e *fake) report() reporter.Load {
+	l := reporter.Load{
+		InFlight:    e.busy,
+		QueuedShort: len(e.queue),
+		Slots:       fakeSlots,
+		ServiceTime: meanService,
+		Incarnation: 1,
+	}
+	if e.lies {
+		l.InFlight, l.QueuedShort = 0, 0
+	}
+	return l
+}
+
+// figures are the results of one variant, summed over the seeds.
+type figures struct {
+	p99, p999, mean time.Duration
+	failed, served  int
+}
+
+func (f figures) String() string {
+	return fmt.Sprintf("mean %v p99 %v p99.9 %v failed %d at-faulty %d", f.mean, f.p99, f.p999, f.failed, f.served)
+}
+
+const seeds = 5
+
+// measure runs a variant with each seed and returns medians and sums.
+func measure(t *testing.T, callers, endpoints int, base simulation, variant func(p *picker.Picker)) figures {
+	t.Helper()
+	var f figures
+	var p99, p999, mean []time.Duration
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(_ *testing.T) {
+			s := base
+			s.random = rand.New(rand.NewPCG(seed, 1))
+			s.endpoints, s.callers = nil, nil
+			for range endpoints {
+				s.endpoints = append(s.endpoints, &fake{})
+			}
+			for i := range callers {
+				p := &picker.Picker{Seed: seed*1000 + uint64(i)}
+				variant(p)
+				s.callers = append(s.callers, p)
+			}
+			s.run()
+			slices.Sort(s.latencies)
+			n := len(s.latencies)
+			sum := time.Duration(0)
+			for _, l := range s.latencies {
+				sum += l
+			}
+			mean = append(mean, sum/time.Duration(n))
+			p99 = append(p99, s.latencies[n*99/100])
+			p999 = append(p999, s.latencies[n*999/1000])
+			f.failed += s.failed
+			f.served += s.endpoints[0].served
+		})
+	}
+	f.mean, f.p99, f.p999 = median(mean), median(p99), median(p999)
+	return f
+}
+
+func median(d []time.Duration) time.Duration {
+	slices.Sort(d)
+	return d[len(d)/2].Round(10 * time.Microsecond)
+}
