Complete the admitter's lanes, deadlines and placement

Cause: the thin admitter had one first-in-first-out queue. Long requests blocked short ones, an overloaded endpoint served requests that had already missed their deadline, and a moved call lost its place in the queue.

Added: a lane per class with a weighted turn for long requests, order by original arrival, refusal and dropping by estimated wait and service time, placement refusals below a ceiling of the least load elsewhere, the adaptive limit, and a switch for each mechanism.

Ruled out: the mean service time as the time a queued request needs. Under overload every served request starts with just that time left, and 37% of exponential service times are longer; the mean plus two mean deviations is used. Strict priority of long requests up to their share delays short ones by all long slots at once; a turn after each three short ones does not.

The interplay of placement with the picker is not measured yet.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	Long
 )
 
+// classes is the number of request classes.
+const classes = 2
+
 // Request is what the admitter knows of a request.
 type Request struct {
 	Class Class
@@ -38,120 +42,194 @@
 
 // Admitter holds the slots and queues of one endpoint. Set the exported fields before use.
 type Admitter struct {
-	Slots       int
-	LongSlots   int
+	// Slots is the number of requests that the endpoint runs at once.
+	Slots int
+	// LongSlots is the number of slots that long requests may hold; at least one is
+	// used, and fewer than Slots where there are two slots or more.
+	LongSlots int
+	// QueueLength is the number of requests of one class that may wait.
 	QueueLength int
 	Incarnation uint64
-
-	mu       sync.Mutex
-	inFlight int
-	queue    []chan struct{}
-	draining bool
+	// Limit returns the adaptive limit of requests in flight. Nil means Slots only.
+	Limit func() int
+
+	// NoPlacement switches placement refusals off.
+	NoPlacement bool
+	// NoDeadlineRefusal switches refusing and dropping by estimated times off.
+	NoDeadlineRefusal bool
+	// NoLanes lets long requests share one queue and all slots with short ones.
+	NoLanes bool
+	// NoArrivalOrder queues in the order of admission instead of the original arrival.
+	NoArrivalOrder bool
+
+	mu         sync.Mutex
+	inFlight   [classes]int
+	queues     [classes]queue
+	estimates  [classes]estimate
+	shortTurns int
+	sequence   uint64
+	draining   bool
 }
 
-// Ticket is the right to run one request. Done must be called once.
+// Ticket is the right to run one request. Done must be called once; further calls
+// have no effect.
 type Ticket struct {
 	admitter *Admitter
+	class    Class
+	done     bool
 }
 
 // Check returns the *refuser.Refusal that Admit would return now, or nil.
 func (a *Admitter) Check(r Request) error {
+	adaptive := a.adaptive()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.check(r)
-}
-
-func (a *Admitter) check(r Request) error {
-	switch {
-	case a.draining:
-		return &refuser.Refusal{Reason: refuser.Draining}
-	case !time.Now().Before(r.Deadline):
-		return &refuser.Refusal{Reason: refuser.DeadlineExceeded}
-	case len(a.queue) >= a.QueueLength:
-		return &refuser.Refusal{Reason: refuser.QueueFull}
+	if refusal := a.refusal(r, a.limit(adaptive), time.Now()); refusal != nil {
+		return refusal
 	}
 	return nil
 }
 
-// Admit waits for a slot. It returns a *refuser.Refusal; the request has not run then.
+// Admit waits for a slot until the deadline of r or the end of ctx. It returns a
+// *refuser.Refusal; the request has not run then.
 func (a *Admitter) Admit(ctx context.Context, r Request) (*Ticket, error) {
+	adaptive := a.adaptive()
+	now := time.Now()
 	a.mu.Lock()
-	if err := a.check(r); err != nil {
+	limit := a.limit(adaptive)
+	a.dispatch(limit)
+	if refusal := a.refusal(r, limit, now); refusal != nil {
 		a.mu.Unlock()
-		return nil, err
+		return nil, refusal
 	}
-	if a.inFlight < a.Slots {
-		a.inFlight++
+	class := a.lane(r.Class)
+	if a.free(class, limit) {
+		a.inFlight[class]++
 		a.mu.Unlock()
-		return &Ticket{admitter: a}, nil
+		return a.ticket(r.Class), nil
 	}
-	granted := make(chan struct{})
-	a.queue = append(a.queue, granted)
+	w := a.enqueue(class, r)
 	a.mu.Unlock()
+	return a.wait(ctx, w)
+}
+
+func (a *Admitter) ticket(class Class) *Ticket {
+	return &Ticket{
+		admitter: a,
+		class:    class,
+	}
+}
+
+func (a *Admitter) wait(ctx context.Context, w *waiter) (*Ticket, error) {
+	timer := time.NewTimer(time.Until(w.request.Deadline))
+	defer timer.Stop()
 	select {
-	case <-granted:
-		return &Ticket{admitter: a}, nil
+	case <-w.settled:
+	case <-timer.C:
+		a.abandon(w, &refuser.Refusal{Reason: refuser.DeadlineExceeded})
 	case <-ctx.Done():
-		return nil, a.abandon(granted)
+		a.abandon(w, contextRefusal(ctx.Err()))
+	}
+	if w.refusal != nil {
+		return nil, w.refusal
 	}
+	return a.ticket(w.request.Class), nil
 }
 
-// abandon leaves the queue. A slot that was granted meanwhile is passed on.
-func (a *Admitter) abandon(granted chan struct{}) error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for i, c := range a.queue {
-		if c == granted {
-			a.queue = append(a.queue[:i], a.queue[i+1:]...)
-			return &refuser.Refusal{Reason: refuser.DeadlineExceeded}
-		}
+// contextRefusal returns the refusal of a request whose context ended in the queue.
+func contextRefusal(err error) *refuser.Refusal {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return &refuser.Refusal{Reason: refuser.DeadlineExceeded}
+	}
+	return &refuser.Refusal{
+		Reason: refuser.Cancelled,
+		Ran:    refuser.NotRun,
 	}
-	a.release()
-	return &refuser.Refusal{Reason: refuser.DeadlineExceeded}
 }
 
-func (a *Admitter) release() {
-	if len(a.queue) > 0 {
-		close(a.queue[0])
-		a.queue = a.queue[1:]
+// abandon takes w out of its queue. A slot that was granted meanwhile is passed on.
+func (a *Admitter) abandon(w *waiter, refusal *refuser.Refusal) {
+	adaptive := a.adaptive()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if w.refusal != nil {
 		return
 	}
-	a.inFlight--
+	limit := a.limit(adaptive)
+	class := a.lane(w.request.Class)
+	if w.granted {
+		a.inFlight[class]--
+		a.dispatch(limit)
+	} else {
+		a.queues[class].remove(w)
+	}
+	refusal.Load = a.load(limit)
+	w.refusal = refusal
 }
 
 // Done frees the slot. service is the time for which the request held it; ok is
-// false where the endpoint failed.
-func (t *Ticket) Done(_ time.Duration, _ bool) {
-	t.admitter.mu.Lock()
-	defer t.admitter.mu.Unlock()
-	t.admitter.release()
+// false where the endpoint failed or the request was cancelled.
+func (t *Ticket) Done(service time.Duration, ok bool) {
+	a := t.admitter
+	adaptive := a.adaptive()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t.done {
+		return
+	}
+	t.done = true
+	a.inFlight[a.lane(t.class)]--
+	a.estimates[t.class].observe(service, ok)
+	a.dispatch(a.limit(adaptive))
 }
 
-// Drain refuses all new work from now on.
+// Drain refuses all new work from now on. Queued short requests still run; queued
+// long ones are refused, since their turn may be minutes away.
 func (a *Admitter) Drain() {
+	adaptive := a.adaptive()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.draining = true
+	limit := a.limit(adaptive)
+	for a.queues[Long].Len() > 0 {
+		w := a.queues[Long].pop()
+		w.settle(&refuser.Refusal{
+			Reason: refuser.Draining,
+			Load:   a.load(limit),
+		})
+	}
 }
 
-// Load returns the endpoint's load.
+// Load returns the endpoint's load. Its slots are the adaptive limit where that is
+// below the document's slots.
 func (a *Admitter) Load() reporter.Load {
+	adaptive := a.adaptive()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return reporter.Load{
-		InFlight:    a.inFlight,
-		QueuedShort: len(a.queue),
-		Slots:       a.Slots,
-		Incarnation: a.Incarnation,
-		Draining:    a.draining,
-	}
+	return a.load(a.limit(adaptive))
 }
 
-// Resize changes the slots, as after a change of the document.
+// Resize changes the limits, as after a change of the document. Requests in flight
+// go on; new ones start only within the new limits.
 func (a *Admitter) Resize(slots, longSlots, queueLength int) {
+	adaptive := a.adaptive()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.Slots = slots
 	a.LongSlots = longSlots
 	a.QueueLength = queueLength
+	a.dispatch(a.limit(adaptive))
+}
+
+func (a *Admitter) load(limit int) reporter.Load {
+	service, _ := a.estimates[Short].mean()
+	return reporter.Load{
+		InFlight:    a.inFlight[Short] + a.inFlight[Long],
+		QueuedShort: a.queues[Short].Len(),
+		QueuedLong:  a.queues[Long].Len(),
+		Slots:       limit,
+		ServiceTime: service,
+		Incarnation: a.Incarnation,
+		Draining:    a.draining,
+	}
 }
--- /dev/null
+++ b/internal/admitter/admitter_test.go
@@ -0,0 +1,291 @@
+package admitter_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianlever/gentianlever/internal/admitter"
+	"github.com/gentianlever/gentianlever/internal/refuser"
+)
+
+func endpoint() *admitter.Admitter {
+	return &admitter.Admitter{
+		Slots:       4,
+		LongSlots:   1,
+		QueueLength: 8,
+	}
+}
+
+func request(timeout time.Duration) admitter.Request {
+	return admitter.Request{
+		Arrival:   time.Now(),
+		Deadline:  time.Now().Add(timeout),
+		LeastLoad: -1,
+	}
+}
+
+// train gives the admitter estimates of 10 ms for short and 1 s for long requests.
+func train(t *testing.T, a *admitter.Admitter) {
+	for range 10 {
+		r := request(time.Hour)
+		hold(t, a, r).Done(10*time.Millisecond, true)
+		r.Class = admitter.Long
+		hold(t, a, r).Done(time.Second, true)
+	}
+}
+
+func hold(t *testing.T, a *admitter.Admitter, r admitter.Request) *admitter.Ticket {
+	t.Helper()
+	ticket, err := a.Admit(t.Context(), r)
+	is.New(t).NoErr(err)
+	return ticket
+}
+
+func reason(err error) refuser.Reason {
+	var refusal *refuser.Refusal
+	if !errors.As(err, &refusal) {
+		return ""
+	}
+	return refusal.Reason
+}
+
+// Guards against a wrong or missing refusal of a request that meets a full endpoint
+// with two queued requests, and against a refusal without its load.
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name     string
+		change   func(r *admitter.Request)
+		switches func(a *admitter.Admitter)
+		expected refuser.Reason
+	}{
+		{
+			name: "waits",
+		},
+		{
+			name:     "hedge",
+			change:   func(r *admitter.Request) { r.Hedge = true },
+			expected: refuser.NoFreeSlot,
+		},
+		{
+			name:     "idle elsewhere",
+			change:   func(r *admitter.Request) { r.LeastLoad = 0.5 },
+			expected: refuser.Placement,
+		},
+		{
+			name:   "surplus of two only",
+			change: func(r *admitter.Request) { r.LeastLoad = 1 },
+		},
+		{
+			name: "claimed",
+			change: func(r *admitter.Request) {
+				r.LeastLoad = 0.5
+				r.Claimed = true
+			},
+		},
+		{
+			name:     "placement off",
+			change:   func(r *admitter.Request) { r.LeastLoad = 0.5 },
+			switches: func(a *admitter.Admitter) { a.NoPlacement = true },
+		},
+		{
+			name:     "deadline too near",
+			change:   func(r *admitter.Request) { r.Deadline = time.Now().Add(12 * time.Millisecond) },
+			expected: refuser.DeadlineUnreachable,
+		},
+		{
+			name:     "deadline refusal off",
+			change:   func(r *admitter.Request) { r.Deadline = time.Now().Add(12 * time.Millisecond) },
+			switches: func(a *admitter.Admitter) { a.NoDeadlineRefusal = true },
+		},
+		{
+			name:     "deadline passed",
+			change:   func(r *admitter.Request) { r.Deadline = time.Now() },
+			expected: refuser.DeadlineExceeded,
+		},
+		{
+			name:     "queue full",
+			switches: func(a *admitter.Admitter) { a.Resize(4, 1, 2) },
+			expected: refuser.QueueFull,
+		},
+		{
+			name:     "draining",
+			switches: func(a *admitter.Admitter) { a.Drain() },
+			expected: refuser.Draining,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				a := endpoint()
+				train(t, a)
+				for range 4 {
+					hold(t, a, request(time.Hour))
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				for range 2 {
+					go func() { _, _ = a.Admit(ctx, request(time.Hour)) }()
+				}
+				synctest.Wait()
+				if c.switches != nil {
+					c.switches(a)
+				}
+				r := request(time.Second)
+				if c.change != nil {
+					c.change(&r)
+				}
+				err := a.Check(r)
+				is.Equal(reason(err), c.expected)
+				var refusal *refuser.Refusal
+				if errors.As(err, &refusal) {
+					is.Equal(refusal.Load, a.Load())
+					is.Equal(refusal.Load.QueuedShort, 2)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// Guards against placement refusals near saturation, where the move gains nothing
+// and only adds attempts.
+func TestNoPlacementWhenAllAreFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := endpoint()
+		a.QueueLength = 100
+		for range 4 {
+			hold(t, a, request(time.Hour))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		for range 50 {
+			go func() { _, _ = a.Admit(ctx, request(time.Hour)) }()
+		}
+		synctest.Wait()
+		r := request(time.Hour)
+		r.LeastLoad = 1.2
+		is.Equal(reason(a.Check(r)), refuser.Placement)
+		r.LeastLoad = 1.3
+		is.NoErr(a.Check(r))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a queue that forgets a call's original arrival when the call moves
+// between endpoints.
+func TestArrivalOrder(t *testing.T) {
+	for _, unordered := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			a := endpoint()
+			a.Resize(1, 1, 8)
+			a.NoArrivalOrder = unordered
+			first := hold(t, a, request(time.Hour))
+			var order []int
+			for i, age := range []time.Duration{0, 30, 10, 20} {
+				go func() {
+					r := request(time.Hour)
+					r.Arrival = r.Arrival.Add(-age * time.Millisecond)
+					ticket := hold(t, a, r)
+					order = append(order, i)
+					ticket.Done(time.Millisecond, true)
+				}()
+				synctest.Wait()
+			}
+			first.Done(time.Millisecond, true)
+			synctest.Wait()
+			expected := []int{1, 3, 2, 0}
+			if unordered {
+				expected = []int{0, 1, 2, 3}
+			}
+			is.New(t).Equal(order, expected)
+		})
+	}
+}
+
+// Guards against a lost slot or a wrong reason when a caller or a deadline ends the
+// wait in the queue, and against a dead request that takes a slot at its turn.
+func TestEndOfWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := endpoint()
+		a.Resize(1, 1, 8)
+		train(t, a)
+		first := hold(t, a, request(time.Hour))
+		ctx, cancel := context.WithCancel(t.Context())
+		errs := make([]error, 3)
+		go func() { _, errs[0] = a.Admit(ctx, request(time.Hour)) }()
+		go func() { _, errs[1] = a.Admit(t.Context(), request(100*time.Millisecond)) }()
+		synctest.Wait()
+		cancel()
+		time.Sleep(101 * time.Millisecond)
+		var refusal *refuser.Refusal
+		is.True(errors.As(errs[0], &refusal))
+		is.Equal(refusal.Reason, refuser.Cancelled)
+		is.Equal(refusal.Row().Ran, refuser.NotRun)
+		is.Equal(reason(errs[1]), refuser.DeadlineExceeded)
+		go func() { _, errs[2] = a.Admit(t.Context(), request(100*time.Millisecond)) }()
+		time.Sleep(99 * time.Millisecond)
+		first.Done(10*time.Millisecond, true)
+		first.Done(10*time.Millisecond, true)
+		synctest.Wait()
+		is.Equal(a.Load().QueuedShort, 0)
+		is.Equal(a.Load().InFlight, 1)
+	})
+}
+
+// Guards against a smaller document or adaptive limit that lets new requests start
+// above it, and against a larger one that leaves slots idle.
+func TestResizeUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		limit := 100
+		a := endpoint()
+		a.Limit = func() int { return limit }
+		var tickets []*admitter.Ticket
+		for range 4 {
+			tickets = append(tickets, hold(t, a, request(time.Hour)))
+		}
+		for range 6 {
+			go func() { hold(t, a, request(time.Hour)) }()
+		}
+		synctest.Wait()
+		a.Resize(2, 1, 8)
+		for i, expected := range []int{3, 2, 2} {
+			tickets[i].Done(time.Millisecond, true)
+			synctest.Wait()
+			is.Equal(a.Load().InFlight, expected)
+		}
+		limit = 1
+		tickets[3].Done(time.Millisecond, true)
+		synctest.Wait()
+		is.Equal(a.Load().InFlight, 1)
+		is.Equal(a.Load().Slots, 1)
+		limit = 100
+		a.Resize(6, 1, 8)
+		synctest.Wait()
+		is.Equal(a.Load().InFlight, 6)
+		is.Equal(a.Load().QueuedShort, 0)
+	})
+}
+
+// The cost of a request that finds a free slot, Done included.
+func BenchmarkAdmitUncontended(b *testing.B) {
+	a := endpoint()
+	a.Limit = func() int { return 4 }
+	r := request(time.Hour)
+	b.ReportAllocs()
+	for b.Loop() {
+		ticket, err := a.Admit(b.Context(), r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		ticket.Done(time.Millisecond, true)
+	}
+}
