Add the quarantine of requests that crash endpoints

Cause: a caller that sends a crashing request again could take down every endpoint of a service. A suspect must be able to run once more, or requests that were only in flight at a crash would stay refused; two nodes that both allow that run would crash a third endpoint.

Rule: the node of the first crash names one trial node in the record. Only its own endpoint and the trial endpoint may run the suspect, whether the crash is confirmed or not. Two breaks refuse it everywhere. Broke returns after the suspect is shared, so a resend after the answer meets nodes that know of it. Crashes have an identity and an increasing state; merging is a union.

Ruled out: asking the crash's node for permission at each run, which adds a message and a wait to what the exchange of suspects already carries; choosing the trial node from the membership at each node, since views differ; clock times in records, since clocks of nodes differ.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -225,6 +225,7 @@
 		synctest.Wait()
 		cancel()
 		time.Sleep(101 * time.Millisecond)
+		synctest.Wait()
 		var refusal *refuser.Refusal
 		is.True(errors.As(errs[0], &refusal))
 		is.Equal(refusal.Reason, refuser.Cancelled)
--- /dev/null
+++ b/internal/quarantiner/quarantiner_test.go
@@ -0,0 +1,209 @@
+package quarantiner_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianlever/gentianlever/internal/quarantiner"
+	"github.com/gentianlever/gentianlever/internal/refuser"
+)
+
+func fingerprint(n byte) quarantiner.Fingerprint {
+	return quarantiner.Fingerprint{
+		Service: "vault",
+		Route:   "upload",
+		Digest:  [32]byte{n},
+	}
+}
+
+// group makes nodes that share each change with all others at once; each node's
+// trial node is the next one.
+func group(n int) []*quarantiner.Quarantiner {
+	nodes := make([]*quarantiner.Quarantiner, n)
+	for i := range nodes {
+		nodes[i] = &quarantiner.Quarantiner{
+			Node:  fmt.Sprint(i),
+			Trial: func(string) string { return fmt.Sprint((i + 1) % n) },
+			Share: func(s quarantiner.Suspect) {
+				for _, other := range nodes {
+					other.Merge([]quarantiner.Suspect{s})
+				}
+			},
+		}
+	}
+	return nodes
+}
+
+func refused(err error) bool {
+	var refusal *refuser.Refusal
+	return errors.As(err, &refusal) && refusal.Reason == refuser.Quarantined
+}
+
+// allowed returns the nodes that would run a request.
+func allowed(nodes []*quarantiner.Quarantiner, fp quarantiner.Fingerprint) []int {
+	var running []int
+	for i, node := range nodes {
+		if node.Refused(fp) == nil {
+			running = append(running, i)
+		}
+	}
+	return running
+}
+
+// crash runs a request that breaks the endpoint of a node, whose probe then fails.
+func crash(t *testing.T, node *quarantiner.Quarantiner, fp quarantiner.Fingerprint) {
+	is.New(t).NoErr(node.Begin(fp))
+	node.Broke(fp)
+	is.New(t).True(node.Pending())
+	node.Probed(false)
+}
+
+// Guards against a request that crashes a third endpoint when it is sent again, and
+// against a quarantine that never ends.
+func TestSecondCrashQuarantines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		nodes := group(5)
+		is.NoErr(nodes[2].Begin(fingerprint(1)))
+		nodes[2].Broke(fingerprint(1))
+		is.Equal(allowed(nodes, fingerprint(1)), []int{3})
+		nodes[2].Probed(false)
+		is.Equal(allowed(nodes, fingerprint(1)), []int{2, 3})
+		crash(t, nodes[3], fingerprint(1))
+		is.Equal(len(allowed(nodes, fingerprint(1))), 0)
+		is.True(refused(nodes[0].Begin(fingerprint(1))))
+		is.Equal(len(allowed(nodes, fingerprint(2))), 5)
+		time.Sleep(10 * time.Minute)
+		is.Equal(len(allowed(nodes, fingerprint(1))), 5)
+	})
+}
+
+// Guards against innocents that stay suspects: requests in flight at a crash, and
+// requests whose endpoint broke one connection only.
+func TestInnocentsAreCleared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		nodes := group(4)
+		for n := range byte(3) {
+			is.NoErr(nodes[0].Begin(fingerprint(n)))
+		}
+		for n := range byte(3) {
+			nodes[0].Broke(fingerprint(n))
+		}
+		nodes[0].Probed(false)
+		is.NoErr(nodes[1].Begin(fingerprint(1)))
+		is.True(refused(nodes[1].Begin(fingerprint(2)))) // one suspect at a time
+		nodes[1].End(fingerprint(1), quarantiner.Succeeded)
+		is.Equal(len(allowed(nodes, fingerprint(1))), 4)
+		is.NoErr(nodes[1].Begin(fingerprint(2)))
+		nodes[1].End(fingerprint(2), quarantiner.Inconclusive)
+		is.Equal(allowed(nodes, fingerprint(2)), []int{0, 1})
+
+		is.NoErr(nodes[0].Begin(fingerprint(9)))
+		nodes[0].Broke(fingerprint(9))
+		nodes[0].Probed(true)
+		is.Equal(len(allowed(nodes, fingerprint(9))), 4)
+	})
+}
+
+// Guards against a third crashed endpoint when many callers send the request again
+// at once, at any node, while breaks are unconfirmed.
+func TestConcurrentSends(t *testing.T) {
+	for seed := range uint64(200) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			nodes := group(6)
+			var mu sync.Mutex
+			crashed := map[string]int{}
+			send := func(node *quarantiner.Quarantiner, service, probe time.Duration) {
+				if node.Begin(fingerprint(1)) != nil {
+					return
+				}
+				time.Sleep(service)
+				mu.Lock()
+				crashed[node.Node]++
+				mu.Unlock()
+				node.Broke(fingerprint(1))
+				time.AfterFunc(probe, func() { node.Probed(false) })
+			}
+			send(nodes[random.IntN(6)], time.Millisecond, time.Duration(random.Int64N(int64(time.Second))))
+			for range 200 {
+				go send(nodes[random.IntN(6)], time.Duration(random.Int64N(int64(time.Second))),
+					time.Duration(random.Int64N(int64(time.Second))))
+				time.Sleep(time.Duration(random.Int64N(int64(50 * time.Millisecond))))
+			}
+			time.Sleep(10 * time.Second)
+			is.New(t).True(len(crashed) <= 2)
+			is.New(t).Equal(len(allowed(nodes, fingerprint(1))), 0)
+		})
+	}
+}
+
+// Guards against nodes that disagree after they exchanged the same lists in different
+// orders, and against an old list that takes back a newer state.
+func TestMergeOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		nodes := group(4)
+		var changes []quarantiner.Suspect
+		for _, node := range nodes {
+			share := node.Share
+			node.Share = func(s quarantiner.Suspect) {
+				changes = append(changes, s)
+				share(s)
+			}
+		}
+		crash(t, nodes[0], fingerprint(1))
+		is.NoErr(nodes[1].Begin(fingerprint(1)))
+		nodes[1].End(fingerprint(1), quarantiner.Succeeded)
+		crash(t, nodes[2], fingerprint(2))
+		crash(t, nodes[3], fingerprint(2))
+		for seed := range uint64(20) {
+			rand.New(rand.NewPCG(seed, 0)).Shuffle(len(changes), func(i, j int) {
+				changes[i], changes[j] = changes[j], changes[i]
+			})
+			late := &quarantiner.Quarantiner{Node: "3"} // the trial node of the second request
+			for _, s := range changes {
+				late.Merge([]quarantiner.Suspect{s})
+			}
+			is.NoErr(late.Refused(fingerprint(1)))
+			is.True(refused(late.Refused(fingerprint(2))))
+		}
+	})
+}
+
+// Guards against unbounded memory and messages, against a full table that drops the
+// latest suspects, and against old suspects that are never exchanged.
+func TestBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := quarantiner.Quarantiner{
+			Node:       "0",
+			MaxEntries: 100,
+			MaxShared:  10,
+		}
+		for n := range byte(200) {
+			crash(t, &q, fingerprint(n))
+		}
+		var seen []byte
+		for range 20 {
+			list := q.Suspects()
+			is.Equal(len(list), 10)
+			for _, s := range list {
+				seen = append(seen, s.Fingerprint.Digest[0])
+			}
+		}
+		slices.Sort(seen)
+		seen = slices.Compact(seen)
+		is.Equal(len(seen), 100)
+		is.Equal(seen[0], byte(100))
+	})
+}
