Bound, check and classify pooled exchanges

Cause: the thin exchanger had no bound on connections, reused connections that the peer might have closed, reported every error as "may have been sent", and wrote the whole request before it read anything, so a large upload could not be refused before its body was sent.

Connections are bounded per address, including idle and dialling ones. An idle connection is peeked at before reuse. NotSentError is returned only where the kernel accepted no byte and the sender has ended. Large bodies are sent while the response is awaited and wait for "100 Continue" where the request expects it. Response headers are checked before the standard parser, which accepts bare line feeds and two statements of the length.

Ruled out: trusting the end of the connection as the end of a body. It looks the same when the sender crashed halfway, so such a response is refused.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -1,69 +1,53 @@
 // Package exchanger sends HTTP/1.1 requests over pooled connections. A connection
 // carries one exchange at a time and is closed unless the exchange ended well, so a
-// late answer can't reach another request.
+// late response can't reach another request.
 package exchanger
 
 import (
-	"bufio"
 	"context"
-	"fmt"
+	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
 	"time"
 )
 
-// ConnectError reports that no connection was made, so no byte was sent.
-type ConnectError struct {
-	Address netip.AddrPort
-	Cause   error
-}
-
-func (e *ConnectError) Error() string {
-	return fmt.Sprintf("connect to %s: %v", e.Address, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *ConnectError) Unwrap() error { return e.Cause }
-
-// ExchangeError reports that an exchange broke after bytes may have been sent.
-type ExchangeError struct {
-	Address netip.AddrPort
-	Cause   error
-}
-
-func (e *ExchangeError) Error() string {
-	return fmt.Sprintf("exchange with %s: %v", e.Address, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *ExchangeError) Unwrap() error { return e.Cause }
+const (
+	// inlineBytes is the largest body that is written before the response is read.
+	// It fits the socket buffers, so a peer that responds early blocks nobody.
+	inlineBytes = 64 << 10
+	// defaultHeaderBytes is the default bound on a response's header.
+	defaultHeaderBytes = 64 << 10
+)
 
 // Exchanger pools connections by address. Set the exported fields before use.
 type Exchanger struct {
+	// MaxConnections bounds the open connections per address, whether idle, in use
+	// or being dialled; zero is no bound. Resize changes it later.
+	MaxConnections int
 	// ConnectTimeout bounds the making of a connection.
 	ConnectTimeout time.Duration
-	// IdleTimeout is the time after which an idle connection is not used again. It
-	// must be less than the receiver's own, so that the receiver never closes a
-	// connection that a request is about to use.
+	// IdleTimeout is the time after which an idle connection is closed. It must be
+	// less than the receiver's own, so that the receiver never closes a connection
+	// that a request is about to use.
 	IdleTimeout time.Duration
-
-	mu   sync.Mutex
-	idle map[netip.AddrPort][]*connection
-}
-
-// connection is one pooled connection.
-type connection struct {
-	net.Conn
-	reader *bufio.Reader
-	writer *bufio.Writer
-	since  time.Time
+	// ContinueTimeout is the time after which the body of a request with
+	// "Expect: 100-continue" is sent without a response; zero waits for one.
+	ContinueTimeout time.Duration
+	// MaxHeaderBytes bounds a response's header; zero is 64 KB.
+	MaxHeaderBytes int
+
+	mu        sync.Mutex
+	addresses map[netip.AddrPort]*addressState
+	evictor   *time.Timer
 }
 
-// Exchange sends r and returns the answer once its header is read. The caller reads
-// the body to its end or closes it. Errors are *ConnectError and *ExchangeError.
+// Exchange sends r and returns the response once its header is read. The caller
+// reads the body to its end or closes it. Where the response comes before all of
+// the request's body was sent, the rest may still be read from r.Body until the
+// response's body ends. Errors are *ConnectError, *NotSentError and *ExchangeError;
+// a *BodyError inside says that r.Body failed.
 func (e *Exchanger) Exchange(ctx context.Context, r *http.Request, to netip.AddrPort) (*http.Response, error) {
 	c, err := e.take(ctx, to)
 	if err != nil {
@@ -72,95 +56,136 @@
 			Cause:   err,
 		}
 	}
+	c.sent.Store(false)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	resp, err := c.roundTrip(r)
+	x := &exchange{
+		e: e,
+		c: c,
+		r: r,
+	}
+	resp, err := x.run()
 	if err != nil {
 		stop()
-		_ = c.Close()
-		return nil, &ExchangeError{
-			Address: to,
-			Cause:   err,
-		}
+		e.discard(c)
+		return nil, x.failure(ctx, err)
 	}
-	resp.Body = &body{
+	b := &body{
 		ReadCloser: resp.Body,
-		finish: func(complete bool) {
-			if !stop() || !complete || resp.Close {
-				_ = c.Close()
-				return
-			}
-			e.put(to, c)
-		},
+		ctx:        ctx,
+		stop:       stop,
+		reusable:   !resp.Close && !r.Close,
+		exchange:   x,
 	}
+	if resp.Body == http.NoBody {
+		b.finish(true)
+		return resp, nil
+	}
+	resp.Body = b
 	return resp, nil
 }
 
-func (c *connection) roundTrip(r *http.Request) (*http.Response, error) {
-	if err := r.Write(c.writer); err != nil {
-		return nil, err
+// exchange is one request and its response on a connection.
+type exchange struct {
+	e *Exchanger
+	c *connection
+	r *http.Request
+	// upload is set where the body is sent while the response is awaited.
+	upload *upload
+}
+
+func (x *exchange) run() (*http.Response, error) {
+	limit := x.e.MaxHeaderBytes
+	if limit <= 0 {
+		limit = defaultHeaderBytes
+	}
+	if x.inline() {
+		if err := x.write(x.r); err != nil {
+			return nil, err
+		}
+		return x.c.readResponse(x.r, limit, nil)
 	}
-	if err := c.writer.Flush(); err != nil {
-		return nil, err
+	x.startUpload()
+	resp, err := x.c.readResponse(x.r, limit, x.upload.proceed)
+	x.upload.refuse()
+	if bodyErr := x.upload.bodyError.Load(); err != nil && bodyErr != nil {
+		return nil, bodyErr
 	}
-	return http.ReadResponse(c.reader, r)
+	return resp, err
 }
 
-func (e *Exchanger) take(ctx context.Context, to netip.AddrPort) (*connection, error) {
-	e.mu.Lock()
-	conns := e.idle[to]
-	for len(conns) > 0 {
-		c := conns[len(conns)-1]
-		conns = conns[:len(conns)-1]
-		e.idle[to] = conns
-		if time.Since(c.since) < e.IdleTimeout {
-			e.mu.Unlock()
-			return c, nil
-		}
-		_ = c.Close()
+// inline reports whether the whole request is written before the response is read.
+func (x *exchange) inline() bool {
+	r := x.r
+	if r.Body == nil || r.Body == http.NoBody {
+		return true
 	}
-	e.mu.Unlock()
-	d := net.Dialer{Timeout: e.ConnectTimeout}
-	conn, err := d.DialContext(ctx, "tcp", to.String())
-	if err != nil {
-		return nil, err
+	return r.ContentLength > 0 && r.ContentLength <= inlineBytes && r.Header.Get("Expect") == ""
+}
+
+func (x *exchange) write(r *http.Request) error {
+	if err := r.Write(x.c.writer); err != nil {
+		return err
 	}
-	return &connection{
-		Conn:   conn,
-		reader: bufio.NewReader(conn),
-		writer: bufio.NewWriter(conn),
-	}, nil
+	return x.c.writer.Flush()
 }
 
-func (e *Exchanger) put(to netip.AddrPort, c *connection) {
-	c.since = time.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.idle == nil {
-		e.idle = make(map[netip.AddrPort][]*connection)
-	}
-	e.idle[to] = append(e.idle[to], c)
+// failure makes the error that says whether a byte was sent.
+func (x *exchange) failure(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		err = errors.Join(cause, err)
+	}
+	if !x.c.sent.Load() && (x.upload == nil || x.upload.ended()) {
+		return &NotSentError{
+			Address: x.c.to,
+			Cause:   err,
+		}
+	}
+	return &ExchangeError{
+		Address: x.c.to,
+		Cause:   err,
+	}
 }
 
 // body returns the connection to the pool at its end.
 type body struct {
 	io.ReadCloser
-	finish func(complete bool)
-	done   bool
+	ctx      context.Context
+	stop     func() bool
+	reusable bool
+	done     bool
+	exchange *exchange
 }
 
 func (b *body) Read(p []byte) (int, error) {
+	if b.done {
+		return 0, io.EOF
+	}
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && !b.done {
-		b.done = true
+	if err != nil {
 		b.finish(err == io.EOF)
 	}
+	if err != nil && err != io.EOF {
+		err = b.exchange.failure(b.ctx, err)
+	}
 	return n, err
 }
 
 func (b *body) Close() error {
 	if !b.done {
-		b.done = true
 		b.finish(false)
 	}
 	return nil
 }
+
+// finish pools the connection if the whole exchange ended well.
+func (b *body) finish(complete bool) {
+	b.done = true
+	c, u := b.exchange.c, b.exchange.upload
+	active := b.stop()
+	sent := u == nil || (u.ended() && u.complete)
+	if active && complete && b.reusable && sent && !c.grown && c.reader.Buffered() == 0 {
+		b.exchange.e.put(c)
+		return
+	}
+	b.exchange.e.discard(c)
+}
