Rework the forwarder and order the shutdown

Cause: the thin forwarder copied endpoints' headers unchecked, so that an endpoint could fake a refusal as not run; it could not retry requests with bodies, blamed endpoints for callers that went away, had no limits on bodies or slow peers, and a retried call could claim "not run" although an earlier attempt may have run. Shutdown closed the listeners at once, so callers met refused connections before peers knew of the draining.

The endpoint side is called directly for the node's own endpoint. The new reason endpoint-shed is used for statuses that the document lists. GOGC is 400 and the memory limit 200 MB unless the environment sets them.

Ruled out: http.Server.SetKeepAlivesEnabled(false) while draining. It closes idle connections at once, which races with a request just sent.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -49,6 +49,12 @@
 // response's body ends. Errors are *ConnectError, *NotSentError and *ExchangeError;
 // a *BodyError inside says that r.Body failed.
 func (e *Exchanger) Exchange(ctx context.Context, r *http.Request, to netip.AddrPort) (*http.Response, error) {
+	return e.ExchangeReady(ctx, r, to, nil)
+}
+
+// ExchangeReady is Exchange with a function that is called when a connection is
+// available and nothing was sent. Its error ends the exchange with a *NotSentError.
+func (e *Exchanger) ExchangeReady(ctx context.Context, r *http.Request, to netip.AddrPort, ready func() error) (*http.Response, error) {
 	c, err := e.take(ctx, to)
 	if err != nil {
 		return nil, &ConnectError{
@@ -56,6 +62,15 @@
 			Cause:   err,
 		}
 	}
+	if ready != nil {
+		if err := ready(); err != nil {
+			e.put(c)
+			return nil, &NotSentError{
+				Address: to,
+				Cause:   err,
+			}
+		}
+	}
 	c.sent.Store(false)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	x := &exchange{
--- /dev/null
+++ b/internal/forwarder/attempt.go
@@ -0,0 +1,155 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gentianlever/gentianlever/internal/counter"
+	"github.com/gentianlever/gentianlever/internal/picker"
+	"github.com/gentianlever/gentianlever/internal/refuser"
+	"github.com/gentianlever/gentianlever/internal/reporter"
+)
+
+// Response is the response of one attempt. Its first bytes are read already.
+type Response struct {
+	*prefetched
+	attempt *picker.Attempt
+	done    atomic.Bool
+}
+
+// Discard ends a response that is not used, as that of the slower of two copies.
+func (p *Response) Discard() {
+	p.prefetched.close()
+	p.end(picker.Cancelled)
+}
+
+func (p *Response) end(o picker.Outcome) {
+	if !p.done.Swap(true) {
+		p.attempt.Done(o)
+	}
+}
+
+// attempt sends the call to one endpoint's node and reads the first bytes of the
+// response.
+func (s *CallerSide) attempt(ctx context.Context, r *http.Request, c *call, hedge bool) (*Response, error) {
+	a, number, err := s.pick(c)
+	if err != nil {
+		return nil, err
+	}
+	s.Counters.Add(counter.NodeTries, 1)
+	resp, err := s.send(ctx, r, c, a, number, hedge)
+	if err != nil {
+		refusal := asRefusal(err)
+		if refusal.Load.Incarnation != 0 {
+			a.Report(refusal.Load)
+		}
+		if refusal.Row().Ran != refuser.NotRun {
+			c.mu.Lock()
+			c.unknown = true
+			c.mu.Unlock()
+		}
+		a.Done(outcomeOf(refusal))
+		return nil, refusal
+	}
+	return &Response{
+		prefetched: resp,
+		attempt:    a,
+	}, nil
+}
+
+// send returns the response of one endpoint or a *refuser.Refusal.
+func (s *CallerSide) send(ctx context.Context, r *http.Request, c *call, a *picker.Attempt, number int, hedge bool) (*prefetched, error) {
+	out := s.outgoing(r, c, a, number, hedge)
+	var resp *http.Response
+	var err error
+	if s.Local != nil && a.Endpoint.Address == s.Self {
+		resp, err = s.Local(ctx, out, Body{body: c.body})
+	} else {
+		resp, err = s.Exchanger.Exchange(ctx, out, a.Endpoint.Address)
+		if err != nil {
+			err = exchangeRefusal(ctx.Err(), err, refuser.NodeUnreachable, refuser.NodeFailed)
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	if load, err := reporter.Parse(resp.Header.Get(headerLoad)); err == nil {
+		a.Report(load)
+	}
+	p, err := prefetch(resp)
+	if err != nil {
+		return nil, exchangeRefusal(ctx.Err(), err, refuser.NodeFailed, refuser.NodeFailed)
+	}
+	if refusal := refusalOf(resp); refusal != nil {
+		p.close()
+		return nil, refusal
+	}
+	return p, nil
+}
+
+// outgoing makes the request to the endpoint's node.
+func (s *CallerSide) outgoing(r *http.Request, c *call, a *picker.Attempt, number int, hedge bool) *http.Request {
+	h := forwarded(r.Header)
+	out := outgoing(r, h, c.body)
+	attempt := strconv.Itoa(number)
+	if hedge {
+		attempt += ";" + hedgeMark
+	}
+	h[headerService] = []string{c.Service}
+	h[headerNode] = []string{s.NodeToken}
+	h[headerDepth] = []string{strconv.Itoa(c.Depth)}
+	h[headerAttempt] = []string{attempt}
+	h[headerLeastLoad] = []string{strconv.FormatFloat(a.LeastLoad, 'f', 3, 64)}
+	setMicroseconds(h, headerTimeout, max(0, time.Until(c.Deadline)))
+	setMicroseconds(h, headerAge, time.Since(c.Arrival))
+	if c.body.streamed() {
+		// A refused upload has then not sent its body.
+		h["Expect"] = []string{"100-continue"}
+	}
+	return out
+}
+
+// outcomeOf tells the picker what a refusal says of the endpoint.
+func outcomeOf(refusal *refuser.Refusal) picker.Outcome {
+	switch refusal.Reason {
+	case refuser.Cancelled, refuser.SlowRequest, refuser.RequestTooLarge, refuser.DeadlineExceeded:
+		return picker.Cancelled
+	case refuser.EndpointUnreachable, refuser.NodeUnreachable:
+		return picker.Failed
+	}
+	if refusal.Row().Ran == refuser.NotRun {
+		return picker.Refused
+	}
+	return picker.Failed
+}
+
+// respond copies a response to the caller.
+func (s *CallerSide) respond(w http.ResponseWriter, r *http.Request, c *call, resp *Response) {
+	defer resp.close()
+	h := w.Header()
+	for name, values := range forwarded(resp.Header) {
+		h[name] = values
+	}
+	readErr, writeErr := relay(w, resp.prefetched, c.Deadline)
+	if readErr != nil {
+		s.Counters.Add(counter.TruncatedAnswers, 1)
+	}
+	switch {
+	case writeErr != nil || r.Context().Err() != nil:
+		resp.end(picker.Cancelled)
+	case readErr != nil || resp.StatusCode >= http.StatusInternalServerError:
+		resp.end(picker.Failed)
+	default:
+		resp.end(picker.Succeeded)
+	}
+	if readErr != nil || writeErr != nil {
+		// Ends the connection abnormally, so that the response never seems complete.
+		panic(http.ErrAbortHandler)
+	}
+	if s.Observed != nil {
+		s.Observed(c.snapshot(), time.Since(c.Arrival))
+	}
+}
--- a/internal/forwarder/callerside.go
+++ b/internal/forwarder/callerside.go
@@ -2,21 +2,36 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/gentianlever/gentianlever/internal/counter"
 	"github.com/gentianlever/gentianlever/internal/exchanger"
 	"github.com/gentianlever/gentianlever/internal/picker"
 	"github.com/gentianlever/gentianlever/internal/refuser"
-	"github.com/gentianlever/gentianlever/internal/reporter"
 	"github.com/gentianlever/gentianlever/internal/validator"
 )
 
+// Call is what the function fields learn of a call.
+type Call struct {
+	Service string
+	Route   *validator.Route
+	// Arrival is the time at which the call reached its first node.
+	Arrival  time.Time
+	Deadline time.Time
+	// Depth is the number of nodes' caller sides passed, this one included.
+	Depth int
+	// Attempts is the number of attempts made.
+	Attempts int
+	// Streamed says that the request's body is too large to be sent twice.
+	Streamed bool
+}
+
 // CallerSide serves calls of callers and of the local endpoint. Set the exported
 // fields before use.
 type CallerSide struct {
@@ -26,37 +41,88 @@
 	Picker    *picker.Picker
 	Exchanger *exchanger.Exchanger
 	Counters  *counter.Counters
+	// Self is the address at which this node serves other nodes, and Local runs a
+	// call at its own endpoint without a network hop; nil sends it over the network.
+	Self  netip.AddrPort
+	Local func(ctx context.Context, r *http.Request, body Body) (*http.Response, error)
+	// Retry reports whether a failed call is tried again, and why. It is asked only
+	// where the body can be sent again and time is left. nil follows the refusal
+	// table and the route's repeatable.
+	Retry func(c Call, err error) (bool, string)
+	// Hedge runs try, once or more, and returns one of its responses; it closes the
+	// bodies of the others. It is asked only where the body is buffered. nil runs
+	// try once.
+	Hedge func(ctx context.Context, c Call, try Try) (*Response, error)
+	// Observed is called after each complete response; it may be nil.
+	Observed func(c Call, latency time.Duration)
+	// Closing reports that callers should close their connections; it may be nil.
+	Closing func() bool
 }
 
+// Try makes one attempt of a call. Errors are *refuser.Refusal.
+type Try func(ctx context.Context, hedge bool) (*Response, error)
+
 // call is one call in progress.
 type call struct {
-	service  string
-	route    *validator.Route
-	arrival  time.Time
-	deadline time.Time
-	depth    int
-	tried    []string
+	Call
+	body *requestBody
+
+	mu    sync.Mutex
+	tried []string
+	// unknown says that an attempt ended so that the request may have run.
+	unknown bool
 }
 
 // ServeHTTP serves one call.
 func (s *CallerSide) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.Counters.Add(counter.Calls, 1)
-	c, err := s.call(r)
+	if s.Closing != nil && s.Closing() {
+		w.Header().Set("Connection", "close")
+	}
+	c, err := s.call(w, r)
 	if err != nil {
 		s.refuse(w, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer c.body.finish()
+	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
+	resp, err := s.run(ctx, r, c)
+	if err != nil {
+		refusal := *asRefusal(err)
+		if c.unknown {
+			refusal.Ran = refuser.RanUnknown
+		}
+		c.body.finish()
+		s.refuse(w, &refusal)
+		return
+	}
+	c.body.fullDuplex(w.Header())
+	s.respond(w, r, c, resp)
+}
+
+// run makes attempts until one ends in a response or no other is allowed.
+func (s *CallerSide) run(ctx context.Context, r *http.Request, c *call) (*Response, error) {
+	try := func(ctx context.Context, hedge bool) (*Response, error) { return s.attempt(ctx, r, c, hedge) }
+	var last error
 	for {
-		resp, attempt, err := s.attempt(ctx, r, c)
+		var resp *Response
+		var err error
+		if s.Hedge != nil && !c.body.streamed() {
+			resp, err = s.Hedge(ctx, c.snapshot(), try)
+		} else {
+			resp, err = try(ctx, false)
+		}
 		if err == nil {
-			s.answer(w, resp, attempt)
-			return
+			return resp, nil
 		}
-		if !s.retry(r, c, err) {
-			s.refuse(w, err)
-			return
+		refusal := asRefusal(err)
+		if refusal.Reason == refuser.NoEndpoint && last != nil {
+			return nil, last
+		}
+		last = refusal
+		if ctx.Err() != nil || !c.body.replayable() || !s.retry(c, refusal) {
+			return nil, refusal
 		}
 	}
 }
@@ -66,8 +132,12 @@
 	writeRefusal(w, err)
 }
 
-// call finds the service and route of a request and sets its deadline.
-func (s *CallerSide) call(r *http.Request) (*call, error) {
+// call finds the service and route of a request, sets its deadline and receives a
+// small body.
+func (s *CallerSide) call(w http.ResponseWriter, r *http.Request) (*call, error) {
+	if err := checkTunnel(r); err != nil {
+		return nil, err
+	}
 	host := r.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
@@ -80,112 +150,94 @@
 	if route == nil {
 		return nil, &refuser.Refusal{Reason: refuser.UnknownRoute}
 	}
-	depth, _ := strconv.Atoi(r.Header.Get(headerDepth))
-	if depth >= maxDepth {
-		return nil, &refuser.Refusal{Reason: refuser.TooDeep}
-	}
-	timeout := route.Timeout
-	if left, ok := microseconds(r.Header, headerTimeout); ok && left < timeout {
-		timeout = left
-	}
-	now := time.Now()
-	return &call{
-		service:  d.Service,
-		route:    route,
-		arrival:  now,
-		deadline: now.Add(timeout),
-		depth:    depth + 1,
-	}, nil
-}
-
-// attempt sends the call to one endpoint's node.
-func (s *CallerSide) attempt(ctx context.Context, r *http.Request, c *call) (*http.Response, *picker.Attempt, error) {
-	a, err := s.Picker.Pick(c.service, c.tried)
-	if err != nil {
-		return nil, nil, err
+	c := &call{
+		Call: Call{
+			Service: d.Service,
+			Route:   route,
+			Arrival: time.Now(),
+		},
 	}
-	c.tried = append(c.tried, a.Endpoint.ID)
-	s.Counters.Add(counter.NodeTries, 1)
-	resp, err := s.Exchanger.Exchange(ctx, s.outgoing(ctx, r, c, a), a.Endpoint.Address)
-	if err != nil {
-		a.Done(picker.Failed)
-		return nil, nil, nodeFailure(ctx, err)
+	if err := c.readHeader(r.Header); err != nil {
+		return nil, err
 	}
-	if load, err := reporter.Parse(resp.Header.Get(headerLoad)); err == nil {
-		a.Report(load)
+	if route.AtMostOnce && r.Header.Get(route.KeyHeader) == "" {
+		return nil, &refuser.Refusal{Reason: refuser.KeyMissing}
 	}
-	if refusal := refusalOf(resp); refusal != nil {
-		_, _ = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
-		a.Done(picker.Refused)
-		return nil, nil, refusal
+	var err error
+	c.body, err = receiveBody(w, r, route.RequestBytes, bufferLimit(route), c.Deadline)
+	if err != nil {
+		return nil, err
 	}
-	return resp, a, nil
+	c.Streamed = c.body.streamed()
+	return c, nil
 }
 
-func (s *CallerSide) outgoing(ctx context.Context, r *http.Request, c *call, a *picker.Attempt) *http.Request {
-	out := r.Clone(ctx)
-	removeHopHeaders(out.Header)
-	h := out.Header
-	h.Set(headerService, c.service)
-	h.Set(headerNode, s.NodeToken)
-	h.Set(headerDepth, strconv.Itoa(c.depth))
-	h.Set(headerAttempt, strconv.Itoa(len(c.tried)))
-	setMicroseconds(h, headerTimeout, time.Until(c.deadline))
-	setMicroseconds(h, headerAge, time.Since(c.arrival))
-	h.Set(headerLeastLoad, strconv.FormatFloat(a.LeastLoad, 'f', 3, 64))
-	return out
+// readHeader validates the headers that callers may set.
+func (c *call) readHeader(h http.Header) error {
+	timeout := c.Route.Timeout
+	if h.Get(headerTimeout) != "" {
+		left, ok := microseconds(h, headerTimeout)
+		if !ok {
+			return malformed(headerTimeout)
+		}
+		timeout = min(timeout, left)
+	}
+	c.Deadline = c.Arrival.Add(timeout)
+	if value := h.Get(headerDepth); value != "" {
+		depth, err := strconv.ParseUint(value, 10, 31)
+		if err != nil {
+			return malformed(headerDepth)
+		}
+		if depth >= maxDepth {
+			return &refuser.Refusal{Reason: refuser.TooDeep}
+		}
+		c.Depth = int(depth)
+	}
+	c.Depth++
+	return nil
 }
 
-func nodeFailure(ctx context.Context, err error) error {
-	var connect *exchanger.ConnectError
-	reason := refuser.NodeFailed
-	switch {
-	case errors.As(err, &connect):
-		reason = refuser.NodeUnreachable
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		reason = refuser.Timeout
-	case errors.Is(ctx.Err(), context.Canceled):
-		reason = refuser.Cancelled
-	}
+func malformed(header string) error {
 	return &refuser.Refusal{
-		Reason: reason,
-		Detail: err.Error(),
+		Reason: refuser.Malformed,
+		Detail: "header " + header + " has an unreadable value",
 	}
 }
 
-// retry reports whether another endpoint may be tried. A body that was read in
-// part can't be sent again.
-func (s *CallerSide) retry(r *http.Request, c *call, err error) bool {
-	row := asRefusal(err).Row()
-	if r.ContentLength != 0 || !time.Now().Before(c.deadline) {
-		return false
+func (c *call) snapshot() Call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Call
+}
+
+// pick chooses an endpoint that this call has not tried.
+func (s *CallerSide) pick(c *call) (*picker.Attempt, int, error) {
+	c.mu.Lock()
+	tried := slices.Clone(c.tried)
+	c.mu.Unlock()
+	a, err := s.Picker.Pick(c.Service, tried)
+	if err != nil {
+		return nil, 0, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tried = append(c.tried, a.Endpoint.ID)
+	c.Attempts++
+	return a, c.Attempts, nil
+}
+
+// retry reports whether another endpoint is tried.
+func (s *CallerSide) retry(c *call, refusal *refuser.Refusal) bool {
+	row := refusal.Row()
+	again, reason := false, string(row.Reason)
+	if s.Retry != nil {
+		again, reason = s.Retry(c.snapshot(), refusal)
+	} else {
+		again = row.Retry == refuser.RetryElsewhere && row.Ran == refuser.NotRun ||
+			row.Retry != refuser.RetryNever && c.Route.Repeatable
 	}
-	again := row.Retry == refuser.RetryElsewhere || (row.Retry == refuser.RetryIfRepeatable && c.route.Repeatable)
 	if again {
-		s.Counters.AddLabelled(counter.Retried, string(row.Reason))
+		s.Counters.AddLabelled(counter.Retried, reason)
 	}
 	return again
 }
-
-// answer copies an endpoint's answer to the caller.
-func (s *CallerSide) answer(w http.ResponseWriter, resp *http.Response, a *picker.Attempt) {
-	defer func() { _ = resp.Body.Close() }()
-	removeHopHeaders(resp.Header)
-	resp.Header.Del(headerLoad)
-	for name, values := range resp.Header {
-		w.Header()[name] = values
-	}
-	w.WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(w, resp.Body); err != nil {
-		s.Counters.Add(counter.TruncatedAnswers, 1)
-		a.Done(picker.Failed)
-		// Ends the connection abnormally, so that the answer never seems complete.
-		panic(http.ErrAbortHandler)
-	}
-	outcome := picker.Succeeded
-	if resp.StatusCode >= http.StatusInternalServerError {
-		outcome = picker.Failed
-	}
-	a.Done(outcome)
-}
--- a/internal/forwarder/endpointside.go
+++ b/internal/forwarder/endpointside.go
@@ -7,7 +7,9 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gentianlever/gentianlever/internal/admitter"
@@ -17,6 +19,18 @@
 	"github.com/gentianlever/gentianlever/internal/validator"
 )
 
+// hedgeMark in the Gentianlever-Attempt header marks a second copy.
+const hedgeMark = "hedge"
+
+// drainBytes bounds what is read of a response that is not used, so that its
+// connection can be kept.
+const drainBytes = 4 << 10
+
+// Body is the body of a call that the caller side passes to Local.
+type Body struct {
+	body *requestBody
+}
+
 // EndpointSide admits calls to the node's own endpoint. Set the exported fields
 // before use.
 type EndpointSide struct {
@@ -29,10 +43,35 @@
 	Admitter  *admitter.Admitter
 	Exchanger *exchanger.Exchanger
 	Counters  *counter.Counters
+	// Quarantined returns the refusal of a quarantined request; it may be nil.
+	Quarantined func(fingerprint string) error
+	// Broke is called after the endpoint broke the connection of a request; it may
+	// be nil.
+	Broke func(fingerprint string)
+	// Responded is called after each complete response as evidence of the
+	// endpoint's health; it may be nil.
+	Responded func(status int)
+	// Claim claims an at-most-once request. Exactly one result is set. nil runs
+	// such requests without a claim.
+	Claim func(ctx context.Context, r ClaimRequest) (*Claimed, *Answer, error)
+	// Closing reports that nodes should close their connections; it may be nil.
+	Closing func() bool
+}
+
+// run is one call at the endpoint side.
+type run struct {
+	request     admitter.Request
+	document    *validator.Document
+	route       *validator.Route
+	body        *requestBody
+	fingerprint string
 }
 
 // ServeHTTP serves a call that another node forwards.
 func (s *EndpointSide) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.Closing != nil && s.Closing() {
+		w.Header().Set("Connection", "close")
+	}
 	token := r.Header.Get(headerNode)
 	if subtle.ConstantTimeCompare([]byte(token), []byte(s.NodeToken)) != 1 {
 		s.refuse(w, &refuser.Refusal{Reason: refuser.Unauthenticated})
@@ -48,51 +87,76 @@
 	writeRefusal(w, err)
 }
 
-// serve admits a call, runs it at the endpoint and copies the answer.
+// serve runs a call and copies the response to the node that sent it.
 func (s *EndpointSide) serve(w http.ResponseWriter, r *http.Request) {
-	request, err := s.request(r)
+	c, err := s.prepare(r)
+	if err == nil {
+		c.body, err = receiveBody(w, r, c.route.RequestBytes, bufferLimit(c.route), c.request.Deadline)
+	}
 	if err != nil {
 		s.refuse(w, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
+	defer c.body.finish()
+	ctx, cancel := context.WithDeadline(r.Context(), c.request.Deadline)
 	defer cancel()
-	ticket, err := s.Admitter.Admit(ctx, request)
+	resp, err := s.exchange(ctx, r, c)
 	if err != nil {
+		c.body.finish()
 		s.refuse(w, err)
 		return
 	}
-	started := time.Now()
-	ok := false
-	defer func() { ticket.Done(time.Since(started), ok) }()
-	resp, err := s.run(ctx, r, request.Deadline)
+	p, err := prefetch(resp)
 	if err != nil {
-		s.refuse(w, s.failure(ctx, err))
+		c.body.finish()
+		s.refuse(w, exchangeRefusal(ctx.Err(), err, refuser.EndpointFailed, refuser.EndpointFailed))
 		return
 	}
-	defer func() { _ = resp.Body.Close() }()
-	removeHopHeaders(resp.Header)
-	for name, values := range resp.Header {
+	defer p.close()
+	c.body.fullDuplex(w.Header())
+	for name, values := range p.Header {
 		w.Header()[name] = values
 	}
-	w.Header().Set(headerLoad, s.Admitter.Load().Encode())
-	w.WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(w, resp.Body); err != nil {
-		// Ends the connection abnormally, so that the answer never seems complete.
+	readErr, writeErr := relay(w, p, c.request.Deadline)
+	if readErr != nil || writeErr != nil {
+		// Ends the connection abnormally, so that the response never seems complete.
 		panic(http.ErrAbortHandler)
 	}
-	ok = resp.StatusCode < http.StatusInternalServerError
 }
 
-// request reads the headers that the caller side sent.
-func (s *EndpointSide) request(r *http.Request) (admitter.Request, error) {
+// Run runs a call of the node's own caller side. r has the headers of a forwarded
+// call. Errors are *refuser.Refusal with the endpoint's load.
+func (s *EndpointSide) Run(ctx context.Context, r *http.Request, body Body) (*http.Response, error) {
+	c, err := s.prepare(r)
+	var resp *http.Response
+	if err == nil {
+		c.body = body.body
+		resp, err = s.exchange(ctx, r, c)
+	}
+	if err != nil {
+		refusal := *asRefusal(err)
+		s.Counters.AddLabelled(counter.RefusedHere, string(refusal.Reason))
+		refusal.Load = s.Admitter.Load()
+		return nil, &refusal
+	}
+	return resp, nil
+}
+
+// prepare reads the headers that the caller side sent.
+func (s *EndpointSide) prepare(r *http.Request) (*run, error) {
+	if err := checkTunnel(r); err != nil {
+		return nil, err
+	}
 	d, ok := s.Document(s.Service, "")
 	if !ok {
-		return admitter.Request{}, &refuser.Refusal{Reason: refuser.UnknownService}
+		return nil, &refuser.Refusal{Reason: refuser.UnknownService}
 	}
 	route := d.RouteFor(r.Method, r.URL.Path)
 	if route == nil {
-		return admitter.Request{}, &refuser.Refusal{Reason: refuser.UnknownRoute}
+		return nil, &refuser.Refusal{Reason: refuser.UnknownRoute}
+	}
+	if route.AtMostOnce && r.Header.Get(route.KeyHeader) == "" {
+		return nil, &refuser.Refusal{Reason: refuser.KeyMissing}
 	}
 	timeout, ok := microseconds(r.Header, headerTimeout)
 	if !ok || timeout > route.Timeout {
@@ -104,39 +168,113 @@
 		least = -1
 	}
 	now := time.Now()
-	request := admitter.Request{
-		Arrival:   now.Add(-age),
-		Deadline:  now.Add(timeout),
-		LeastLoad: least,
+	c := &run{
+		document: d,
+		route:    route,
+		request: admitter.Request{
+			Arrival:   now.Add(-age),
+			Deadline:  now.Add(timeout),
+			LeastLoad: least,
+			Hedge:     strings.HasSuffix(r.Header.Get(headerAttempt), ";"+hedgeMark),
+		},
 	}
 	if route.Class == validator.Long {
-		request.Class = admitter.Long
+		c.request.Class = admitter.Long
 	}
-	return request, nil
+	return c, nil
 }
 
-// run sends a request to the endpoint.
-func (s *EndpointSide) run(ctx context.Context, r *http.Request, deadline time.Time) (*http.Response, error) {
-	out := r.Clone(ctx)
-	removeHopHeaders(out.Header)
-	out.Header.Del(headerNode)
-	setMicroseconds(out.Header, headerTimeout, time.Until(deadline))
+// exchange admits a call and sends it to the endpoint.
+func (s *EndpointSide) exchange(ctx context.Context, r *http.Request, c *run) (*http.Response, error) {
+	if s.Quarantined != nil || s.Broke != nil {
+		c.fingerprint = fingerprint(r, c)
+	}
+	if s.Quarantined != nil {
+		if err := s.Quarantined(c.fingerprint); err != nil {
+			return nil, err
+		}
+	}
+	if c.route.AtMostOnce && s.Claim != nil {
+		return s.claimed(ctx, r, c)
+	}
+	return s.admitted(ctx, r, c, nil)
+}
+
+// admitted waits for a slot and sends the call to the endpoint. ready is called
+// immediately before the first byte is sent. The slot is held until the response's
+// body ends.
+func (s *EndpointSide) admitted(ctx context.Context, r *http.Request, c *run, ready func() error) (*http.Response, error) {
+	ticket, err := s.Admitter.Admit(ctx, c.request)
+	if err != nil {
+		return nil, err
+	}
+	h := s.holder(ticket)
+	resp, err := s.send(ctx, r, c, ready)
+	if err != nil {
+		h.end(false)
+		return nil, err
+	}
+	h.status = resp.StatusCode
+	h.broke = func() { s.broke(ctx, c) }
+	resp.Header = forwarded(resp.Header)
+	if resp.Body == http.NoBody {
+		h.end(true)
+	} else {
+		h.ReadCloser = &limitedBody{
+			ReadCloser: resp.Body,
+			left:       c.route.ResponseBytes,
+		}
+		resp.Body = h
+	}
+	resp.Header[headerLoad] = []string{s.Admitter.Load().Encode()}
+	return resp, nil
+}
+
+// send sends the call to the endpoint and sorts out responses that are refusals.
+func (s *EndpointSide) send(ctx context.Context, r *http.Request, c *run, ready func() error) (*http.Response, error) {
+	h := forwarded(r.Header, headerService, headerTimeout, headerDepth)
+	out := outgoing(r, h, c.body)
+	setMicroseconds(h, headerTimeout, max(0, time.Until(c.request.Deadline)))
 	s.Counters.Add(counter.EndpointRuns, 1)
-	return s.Exchanger.Exchange(ctx, out, s.Endpoint)
+	resp, err := s.Exchanger.ExchangeReady(ctx, out, s.Endpoint, ready)
+	if err != nil {
+		var refusal *refuser.Refusal
+		if errors.As(err, &refusal) {
+			return nil, refusal
+		}
+		refusal = exchangeRefusal(ctx.Err(), err, refuser.EndpointUnreachable, refuser.EndpointFailed)
+		if refusal.Reason == refuser.EndpointFailed {
+			s.broke(ctx, c)
+		}
+		return nil, refusal
+	}
+	if slices.Contains(c.document.ShedStatuses, resp.StatusCode) {
+		return nil, shed(resp)
+	}
+	if resp.ContentLength > c.route.ResponseBytes && resp.Body != http.NoBody {
+		_ = resp.Body.Close()
+		return nil, &refuser.Refusal{Reason: refuser.ResponseTooLarge}
+	}
+	return resp, nil
+}
+
+func (s *EndpointSide) broke(ctx context.Context, c *run) {
+	if s.Broke != nil && ctx.Err() == nil {
+		s.Broke(c.fingerprint)
+	}
 }
 
-// failure names the reason of an exchange's error.
-func (s *EndpointSide) failure(ctx context.Context, err error) error {
-	var connect *exchanger.ConnectError
-	reason := refuser.EndpointFailed
-	switch {
-	case errors.As(err, &connect):
-		reason = refuser.EndpointUnreachable
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		reason = refuser.Timeout
+// shed makes the refusal of a response by which the endpoint says that it did not run
+// the request.
+func shed(resp *http.Response) error {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, drainBytes))
+	_ = resp.Body.Close()
+	refusal := &refuser.Refusal{
+		Reason: refuser.EndpointShed,
+		Detail: "status " + strconv.Itoa(resp.StatusCode),
 	}
-	return &refuser.Refusal{
-		Reason: reason,
-		Detail: err.Error(),
+	if seconds, err := strconv.ParseUint(resp.Header.Get("Retry-After"), 10, 31); err == nil {
+		refusal.Hint = time.Duration(seconds) * time.Second
 	}
+	return refusal
 }
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -10,7 +10,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gentianlever/gentianlever/internal/refuser"
@@ -53,9 +55,57 @@
 	"Upgrade",
 }
 
-func removeHopHeaders(h http.Header) {
-	for _, name := range hopHeaders {
-		delete(h, name)
+// ownPrefix begins the names of the system's headers.
+const ownPrefix = "Gentianlever-"
+
+// forwarded returns the headers of h that go on to the next hop: neither those of one
+// connection, which includes the ones that Connection names, nor the system's own
+// except for those in keep. The value slices are shared with h.
+func forwarded(h http.Header, keep ...string) http.Header {
+	var named []string
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			named = append(named, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	out := make(http.Header, len(h)+8)
+	for name, values := range h {
+		switch {
+		case slices.Contains(hopHeaders, name) || slices.Contains(named, name):
+		case strings.HasPrefix(name, ownPrefix) && !slices.Contains(keep, name):
+		default:
+			out[name] = values
+		}
+	}
+	return out
+}
+
+// outgoing makes the request for the next hop. The header is that of forwarded.
+func outgoing(r *http.Request, h http.Header, b *requestBody) *http.Request {
+	delete(h, "Expect")
+	if _, ok := h["User-Agent"]; !ok {
+		// Keeps http.Request.Write from adding its own.
+		h["User-Agent"] = []string{""}
+	}
+	return &http.Request{
+		Method:        r.Method,
+		URL:           r.URL,
+		Host:          r.Host,
+		Header:        h,
+		Body:          b.open(),
+		ContentLength: b.length,
+		Trailer:       b.trailer,
+	}
+}
+
+// checkTunnel refuses requests that turn the connection into one of another protocol.
+func checkTunnel(r *http.Request) error {
+	if r.Method != http.MethodConnect && len(r.Header["Upgrade"]) == 0 {
+		return nil
+	}
+	return &refuser.Refusal{
+		Reason: refuser.Malformed,
+		Detail: "CONNECT and Upgrade are not served",
 	}
 }
 
@@ -76,11 +126,12 @@
 func writeRefusal(w http.ResponseWriter, err error) {
 	refusal := asRefusal(err)
 	row := refusal.Row()
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(paceGrace))
 	h := w.Header()
 	h.Set(refuser.HeaderRefused, string(row.Reason))
 	h.Set(refuser.HeaderRan, string(row.Ran))
 	if refusal.Detail != "" {
-		h.Set(headerDetail, refusal.Detail)
+		h.Set(headerDetail, printable(refusal.Detail))
 	}
 	if refusal.Hint > 0 {
 		seconds := (refusal.Hint + time.Second - 1) / time.Second
@@ -91,6 +142,16 @@
 	_, _ = io.WriteString(w, refusal.Error()+"\n")
 }
 
+// printable replaces control characters, which a header value can't hold.
+func printable(s string) string {
+	return strings.Map(func(c rune) rune {
+		if c < ' ' || c == 0x7f {
+			return ' '
+		}
+		return c
+	}, s)
+}
+
 func asRefusal(err error) *refuser.Refusal {
 	var refusal *refuser.Refusal
 	if errors.As(err, &refusal) {
@@ -108,11 +169,18 @@
 	if reason == "" {
 		return nil
 	}
+	ran := refuser.RanUnknown
+	if resp.Header.Get(refuser.HeaderRan) == string(refuser.NotRun) {
+		ran = refuser.NotRun
+	}
 	refusal := &refuser.Refusal{
 		Reason: refuser.Reason(reason),
-		Ran:    refuser.Ran(resp.Header.Get(refuser.HeaderRan)),
+		Ran:    ran,
 		Detail: resp.Header.Get(headerDetail),
 	}
+	if seconds, err := strconv.ParseUint(resp.Header.Get("Retry-After"), 10, 31); err == nil {
+		refusal.Hint = time.Duration(seconds) * time.Second
+	}
 	refusal.Load, _ = reporter.Parse(resp.Header.Get(headerLoad))
 	return refusal
 }
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -59,6 +59,7 @@
 	OutcomeUnknown      Reason = "outcome-unknown"
 	EndpointUnreachable Reason = "endpoint-unreachable"
 	EndpointFailed      Reason = "endpoint-failed"
+	EndpointShed        Reason = "endpoint-shed"
 	NodeUnreachable     Reason = "node-unreachable"
 	NodeFailed          Reason = "node-failed"
 	Timeout             Reason = "timeout"
@@ -207,6 +208,13 @@
 		Retry:  RetryIfRepeatable,
 		Help:   "the connection to the endpoint broke before the answer was complete",
 	},
+	{
+		Reason: EndpointShed,
+		Status: http.StatusServiceUnavailable,
+		Ran:    NotRun,
+		Retry:  RetryElsewhere,
+		Help:   "the endpoint shed the request with a status that its document lists",
+	},
 	{
 		Reason: NodeUnreachable,
 		Status: http.StatusBadGateway,
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +18,7 @@
 	"github.com/gentianlever/gentianlever/internal/announcer"
 	"github.com/gentianlever/gentianlever/internal/counter"
 	"github.com/gentianlever/gentianlever/internal/distributor"
+	"github.com/gentianlever/gentianlever/internal/drainer"
 	"github.com/gentianlever/gentianlever/internal/exchanger"
 	"github.com/gentianlever/gentianlever/internal/forwarder"
 	"github.com/gentianlever/gentianlever/internal/persister"
@@ -30,6 +33,15 @@
 	exchangerIdle     = 30 * time.Second
 	serverIdle        = 60 * time.Second
 	readHeaderTimeout = 10 * time.Second
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 64 << 10
+	// connectionsPerNode bounds the connections to one other node. With 1,500 nodes few are
+	// open at once, because idle ones are closed.
+	connectionsPerNode = 256
+	// garbagePercent trades memory, of which a node needs little, for processor time
+	// and shorter pauses; memoryLimit keeps the total under the budget of 256 MB.
+	garbagePercent = 400
+	memoryLimit    = 200 << 20
 	// defaultSlots serve until the first document is in force.
 	defaultSlots = 1
 )
@@ -45,11 +57,15 @@
 	admitter    admitter.Admitter
 	announcer   announcer.Announcer
 	distributor distributor.Distributor
+	drainer     drainer.Drainer
+	toNodes     exchanger.Exchanger
+	toEndpoint  exchanger.Exchanger
 }
 
 // Run serves until ctx ends and then shuts down gracefully: requests in flight are
 // finished first.
 func (n *Runner) Run(ctx context.Context) error {
+	limitMemory()
 	n.build()
 	listeners, err := n.listen()
 	if err != nil {
@@ -76,23 +92,46 @@
 	return p.Wait()
 }
 
-// shutDown finishes the requests in flight before it closes the listeners.
+// shutDown finishes the requests in flight before it returns.
 func (n *Runner) shutDown(listeners []*listener) {
 	n.Log.Info("node is draining", "name", n.Settings.Name)
-	ctx := context.Background()
-	n.admitter.Drain()
-	n.announcer.Leave(ctx)
-	for _, l := range listeners {
-		if err := l.server.Shutdown(ctx); err != nil {
-			n.Log.Warn("listener did not close", "address", l.Addr().String(), "error", err)
-		}
+	n.drainer.Mark = n.admitter.Drain
+	n.drainer.Announce = n.announcer.Leave
+	n.drainer.Failed = func(err error) { n.Log.Warn("shutdown step failed", "error", err) }
+	admin := listeners[len(listeners)-1]
+	for _, l := range listeners[:len(listeners)-1] {
+		n.drainer.Close = append(n.drainer.Close, l.server.Shutdown)
+	}
+	n.drainer.Run()
+	n.toNodes.CloseIdle()
+	n.toEndpoint.CloseIdle()
+	// The status stays readable until everything else is done.
+	if err := admin.server.Shutdown(context.Background()); err != nil {
+		n.Log.Warn("listener did not close", "address", admin.Addr().String(), "error", err)
 	}
 	n.Log.Info("node has stopped", "name", n.Settings.Name)
 }
 
+// limitMemory sets the garbage collector, where the environment does not.
+func limitMemory() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(garbagePercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryLimit)
+	}
+}
+
 func (n *Runner) build() {
 	s := n.Settings
 	n.counters.Open()
+	n.drainer.Period = drainer.DefaultPeriod
+	for _, e := range []*exchanger.Exchanger{&n.toNodes, &n.toEndpoint} {
+		e.ConnectTimeout = connectTimeout
+		e.IdleTimeout = exchangerIdle
+	}
+	n.toNodes.MaxConnections = connectionsPerNode
+	n.toEndpoint.MaxConnections = defaultSlots
 	table := persister.Table(s.Platform)
 	incarnation := uint64(time.Now().UnixNano())
 	n.picker = picker.Picker{
@@ -149,6 +188,7 @@
 	n.Log.Info("document is in force", "service", c.Service, "version", c.Version, "withdrawn", c.Withdrawn)
 	if d != nil && d.Service == n.Settings.Service {
 		n.admitter.Resize(d.Endpoint.Slots, d.Endpoint.LongSlots(), d.Endpoint.QueueLength)
+		n.toEndpoint.Resize(d.Endpoint.Connections)
 	}
 }
 
@@ -168,31 +208,38 @@
 func (n *Runner) listen() ([]*listener, error) {
 	s := n.Settings
 	token := forwarder.NodeToken(s.MembershipKey)
+	endpointSide := &forwarder.EndpointSide{
+		Service:   s.Service,
+		Endpoint:  s.EndpointAddress,
+		NodeToken: token,
+		Document:  n.distributor.Document,
+		Admitter:  &n.admitter,
+		Exchanger: &n.toEndpoint,
+		Counters:  &n.counters,
+		Closing:   n.drainer.Draining,
+	}
+	callerSide := &forwarder.CallerSide{
+		NodeToken: token,
+		Document:  n.distributor.Document,
+		Picker:    &n.picker,
+		Exchanger: &n.toNodes,
+		Counters:  &n.counters,
+		Self:      s.NodesAddress,
+		Local:     endpointSide.Run,
+		Closing:   n.drainer.Draining,
+	}
+	// The administration listener is the last one, because it closes last.
 	bindings := []struct {
 		address string
 		handler http.Handler
 	}{
 		{
 			address: s.CallersAddress.String(),
-			handler: &forwarder.CallerSide{
-				NodeToken: token,
-				Document:  n.distributor.Document,
-				Picker:    &n.picker,
-				Exchanger: newExchanger(),
-				Counters:  &n.counters,
-			},
+			handler: callerSide,
 		},
 		{
 			address: s.NodesAddress.String(),
-			handler: &forwarder.EndpointSide{
-				Service:   s.Service,
-				Endpoint:  s.EndpointAddress,
-				NodeToken: token,
-				Document:  n.distributor.Document,
-				Admitter:  &n.admitter,
-				Exchanger: newExchanger(),
-				Counters:  &n.counters,
-			},
+			handler: endpointSide,
 		},
 		{
 			address: s.AdminAddress.String(),
@@ -214,19 +261,13 @@
 				Handler:           b.handler,
 				ReadHeaderTimeout: readHeaderTimeout,
 				IdleTimeout:       serverIdle,
+				MaxHeaderBytes:    maxHeaderBytes,
 			},
 		})
 	}
 	return listeners, nil
 }
 
-func newExchanger() *exchanger.Exchanger {
-	return &exchanger.Exchanger{
-		ConnectTimeout: connectTimeout,
-		IdleTimeout:    exchangerIdle,
-	}
-}
-
 func (n *Runner) administrator() http.Handler {
 	a := &administrator.Administrator{
 		Owners:   n.Settings.Owners,
