--- a/internal/documenter/documenter_test.go
+++ b/internal/documenter/documenter_test.go
@@ -27,7 +27,7 @@
 	}
 	stored, err := os.ReadFile(page)
 	is.NoErr(err)
-	is.Equal(string(stored), b.String()) // run make generate
+	is.True(string(stored) == b.String()) // docs/reference.md differs from the tables; run make generate
 }
 
 // Guards against a refusal reason that is counted under another name or not at all.
