Test later requests and outages of the claimer; close the stand-in's listener

A refused TCP connection, the usual form of an outage, could not be simulated without losing the stand-in's data.

The race detector first reported two races in the new tests, which read the fake's maps without ordering them after the background writes; the tests now use synctest.Wait. No race was in the claimer itself.

--- /dev/null
+++ b/internal/claimer/claimer_test.go
@@ -0,0 +1,243 @@
+package claimer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianlever/gentianlever/internal/refuser"
+)
+
+// dispatch claims the key on node 0 and dispatches it.
+func (s *cluster) dispatch(t *testing.T) *Claim {
+	cl, _, err := s.nodes[0].Claim(context.Background(), request())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cl.Dispatch(); err != nil {
+		t.Fatal(err)
+	}
+	return cl
+}
+
+func (s *cluster) finish(t *testing.T, size int) {
+	s.dispatch(t).Finish(Answer{
+		Status: 201,
+		Header: []HeaderField{
+			{
+				Name:  "Receipt",
+				Value: "7",
+			},
+		},
+		Body: bytes.Repeat([]byte{255}, size),
+	})
+	settle(time.Second)
+}
+
+// settle waits and orders the background writes before what follows.
+func settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func down() effect { return refused }
+
+// Guards against a wrong answer or refusal of a later request on another node. A
+// case without a reason and without a body size expects a new claim.
+func TestLaterRequest(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(t *testing.T, s *cluster)
+		digest  byte
+		reason  refuser.Reason
+		size    int
+	}{
+		{
+			name:    "finished",
+			prepare: func(t *testing.T, s *cluster) { s.finish(t, 10) },
+			size:    10,
+		},
+		{
+			name:    "finished and large",
+			prepare: func(t *testing.T, s *cluster) { s.finish(t, 200<<10) },
+			size:    200 << 10,
+		},
+		{
+			name: "large and the object is gone",
+			prepare: func(t *testing.T, s *cluster) {
+				s.finish(t, 200<<10)
+				clear(s.table.objects)
+			},
+			reason: refuser.OutcomeUnknown,
+		},
+		{
+			name: "expired and not yet deleted",
+			prepare: func(t *testing.T, s *cluster) {
+				s.finish(t, 10)
+				time.Sleep(48 * time.Hour)
+			},
+			size: 10,
+		},
+		{
+			name: "finished while the object store fails",
+			prepare: func(t *testing.T, s *cluster) {
+				put := s.nodes[0].Objects.Put
+				s.nodes[0].Objects.Put = func(ctx context.Context, name string, body []byte) error {
+					if time.Since(time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)) < time.Minute {
+						return errInjected
+					}
+					return put(ctx, name, body)
+				}
+				s.finish(t, 200<<10)
+			},
+			size: 200 << 10,
+		},
+		{
+			name: "the table came back without the claim",
+			prepare: func(t *testing.T, s *cluster) {
+				cl := s.dispatch(t)
+				clear(s.table.rows)
+				cl.Finish(Answer{Body: []byte{255}})
+				settle(time.Second)
+			},
+			size: 1,
+		},
+		{
+			name:    "another digest",
+			prepare: func(t *testing.T, s *cluster) { s.finish(t, 10) },
+			digest:  1,
+			reason:  refuser.KeyConflict,
+		},
+		{
+			name:    "running",
+			prepare: func(t *testing.T, s *cluster) { s.dispatch(t) },
+			reason:  refuser.KeyInProgress,
+		},
+		{
+			name: "the claimant restarted",
+			prepare: func(t *testing.T, s *cluster) {
+				s.dispatch(t)
+				s.nodes[0].Incarnation++
+			},
+			reason: refuser.OutcomeUnknown,
+		},
+		{
+			name: "the claimant is unreachable",
+			prepare: func(t *testing.T, s *cluster) {
+				s.dispatch(t)
+				s.unreachable = func() bool { return true }
+			},
+			reason: refuser.OutcomeUnknown,
+		},
+		{
+			name: "the claimant lost the outcome",
+			prepare: func(t *testing.T, s *cluster) {
+				s.dispatch(t).Lose()
+				settle(time.Second)
+			},
+			reason: refuser.OutcomeUnknown,
+		},
+		{
+			name: "the table is down",
+			prepare: func(t *testing.T, s *cluster) {
+				s.dispatch(t)
+				s.table.inject = down
+			},
+			reason: refuser.ClaimUnavailable,
+		},
+		{
+			name: "claimed and not dispatched before its deadline",
+			prepare: func(t *testing.T, s *cluster) {
+				_, _, err := s.nodes[0].Claim(context.Background(), request())
+				is.New(t).NoErr(err)
+				time.Sleep(2 * timeout)
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newCluster(2, 0)
+				c.prepare(t, s)
+				r := request()
+				r.Digest[0] = c.digest
+				cl, answer, err := s.nodes[1].Claim(context.Background(), r)
+				var refusal *refuser.Refusal
+				if errors.As(err, &refusal) {
+					is.Equal(refusal.Reason, c.reason)
+				}
+				is.Equal(err != nil, c.reason != "")
+				is.Equal(cl != nil, c.reason == "" && c.size == 0)
+				is.Equal(answer != nil && bytes.Equal(answer.Body, bytes.Repeat([]byte{255}, c.size)), c.size > 0)
+				synctest.Wait()
+				s.table.inject = nil
+				for _, n := range s.nodes {
+					is.NoErr(n.Flush(context.Background()))
+				}
+			})
+		})
+	}
+}
+
+// Guards against outcomes that are dropped in an outage, unbounded memory for them,
+// retries without backoff, and a Flush that returns too early.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newCluster(2, 0)
+		n := s.nodes[0]
+		n.MaxPendingBytes = 1 << 10
+		failures := 0
+		n.OnError = func(error) { failures++ }
+		cl := s.dispatch(t)
+		s.table.inject = down
+		cl.Finish(Answer{Body: []byte("done")})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		var late *FlushError
+		is.True(errors.As(n.Flush(ctx), &late))
+		is.Equal(late.Pending, 1)
+		is.True(failures > 12 && failures < 40)
+		other := request()
+		other.Key = "other"
+		_, _, err := n.Claim(context.Background(), other)
+		var refusal *refuser.Refusal
+		is.True(errors.As(err, &refusal))
+		is.Equal(refusal.Reason, refuser.ClaimUnavailable)
+		s.table.inject = nil
+		is.NoErr(n.Flush(context.Background()))
+		is.Equal(n.pendingBytes, 0)
+		is.Equal(len(n.live)+len(n.abandoned), 0)
+	})
+}
+
+// Guards against more table operations than the two writes that the capacity plan
+// counts, one hot partition, and keys that do not fit a row.
+func TestCostOfAClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newCluster(1, 0)
+		operations := 0
+		s.table.inject = func() effect {
+			operations++
+			return none
+		}
+		s.finish(t, 10)
+		is.Equal(operations, 2)
+		partitions := map[string]bool{}
+		for i := range 1000 {
+			k := rowKey("sign-off", strings.Repeat("\xff\x00", 5000)+fmt.Sprint(i))
+			partitions[k.Partition] = true
+			is.Equal(len(k.Sort), 64)
+		}
+		is.True(len(partitions) > 200)
+	})
+}
--- a/test/standins/platform/main.go
+++ b/test/standins/platform/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"log/slog"
-	"net/http"
 	"os"
 
 	"github.com/alexflint/go-arg"
@@ -21,15 +20,24 @@
 	var args arguments
 	arg.MustParse(&args)
 	p := &simulator.Platform{}
+	p.Server = &simulator.Server{
+		Address: args.Listen,
+		Handler: p,
+	}
+	exitOnError(p.Server.Open())
 	if args.Control != "" {
-		go serve(args.Control, p.Control())
+		control := &simulator.Server{
+			Address: args.Control,
+			Handler: p.Control(),
+		}
+		exitOnError(control.Open())
 	}
 	slog.Info("platform stand-in is ready", "address", args.Listen, "control", args.Control)
-	serve(args.Listen, p)
+	select {}
 }
 
-func serve(address string, h http.Handler) {
-	if err := http.ListenAndServe(address, h); err != nil {
+func exitOnError(err error) {
+	if err != nil {
 		slog.Error("platform stand-in stops", "error", err)
 		os.Exit(1)
 	}
--- a/test/standins/platform/simulator/control.go
+++ b/test/standins/platform/simulator/control.go
@@ -40,6 +40,8 @@
 	router.GET("/counters", p.showCounters)
 	router.POST("/snapshots/:name", p.takeSnapshot)
 	router.POST("/snapshots/:name/restore", p.restoreSnapshot)
+	router.POST("/listener/open", p.listen((*Server).Open))
+	router.POST("/listener/close", p.listen((*Server).Close))
 	return router
 }
 
--- a/test/standins/platform/simulator/control_test.go
+++ b/test/standins/platform/simulator/control_test.go
@@ -139,3 +139,24 @@
 	is.True(!c.exists("b"))
 	is.True(c.exists("a"))
 }
+
+// Guards against a closed listener that still accepts, and against data lost with it.
+func TestListener(t *testing.T) {
+	is := is.New(t)
+	c := start(t)
+	p := &Platform{}
+	p.Server = &Server{
+		Address: "127.0.0.1:0",
+		Handler: p,
+	}
+	is.NoErr(p.Server.Open())
+	defer func() { is.NoErr(p.Server.Close()) }()
+	c.platform = "http://" + p.Server.Address
+	control := httptest.NewServer(p.Control())
+	defer control.Close()
+	is.Equal(c.insert("a"), 200)
+	c.send("POST", control.URL+"/listener/close", "", "")
+	is.Equal(c.insert("b"), 0)
+	c.send("POST", control.URL+"/listener/open", "", "")
+	is.Equal(c.insert("b", "a"), 400)
+}
--- a/test/standins/platform/simulator/platform.go
+++ b/test/standins/platform/simulator/platform.go
@@ -13,6 +13,9 @@
 
 // Platform serves both services. The zero value is empty and ready for use.
 type Platform struct {
+	// Server is the listener that the control API opens and closes; it may be nil.
+	Server *Server
+
 	mu        sync.Mutex
 	current   data
 	snapshots map[string]data
