--- a/internal/forwarder/callerside.go
+++ b/internal/forwarder/callerside.go
@@ -164,7 +164,7 @@
 		return nil, &refuser.Refusal{Reason: refuser.KeyMissing}
 	}
 	var err error
-	c.body, err = receiveBody(w, r, route.RequestBytes, bufferLimit(route), c.Deadline)
+	c.body, err = receiveBody(w, r, route.RequestBytes, bufferLimit(route), c.Deadline, false)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/forwarder/endpointside.go
+++ b/internal/forwarder/endpointside.go
@@ -91,7 +91,7 @@
 func (s *EndpointSide) serve(w http.ResponseWriter, r *http.Request) {
 	c, err := s.prepare(r)
 	if err == nil {
-		c.body, err = receiveBody(w, r, c.route.RequestBytes, bufferLimit(c.route), c.request.Deadline)
+		c.body, err = receiveBody(w, r, c.route.RequestBytes, bufferLimit(c.route), c.request.Deadline, true)
 	}
 	if err != nil {
 		s.refuse(w, err)
--- /dev/null
+++ b/internal/forwarder/forwarder_test.go
@@ -0,0 +1,438 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianlever/gentianlever/internal/refuser"
+)
+
+// Guards against headers of the system that a caller or an endpoint fakes, and against
+// headers of one connection that reach the next.
+func TestHeaders(t *testing.T) {
+	is := is.New(t)
+	seen := make(chan http.Header, 1)
+	s := start(t, endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		seen <- r.Header
+		for _, name := range []string{"Gentianlever-Refused", "Gentianlever-Ran", "Gentianlever-Load", "Gentianlever-Other"} {
+			w.Header().Set(name, "draining")
+		}
+		w.Header().Set("Connection", "X-Hop")
+		w.Header().Set("X-Hop", "1")
+		w.Header().Set("X-End", "1")
+	}))
+	got, err := s.do("GET", "/view", nil, func(r *http.Request) {
+		r.Header.Set("Connection", "X-Hop, Keep-Alive")
+		r.Header.Set("X-Hop", "1")
+		r.Header.Set("X-End", "1")
+		r.Header.Set("Gentianlever-Depth", "3")
+		r.Header.Set("Gentianlever-Timeout", "1000000")
+		for _, name := range []string{"Node", "Attempt", "Refused", "Age", "Least-Load", "Other"} {
+			r.Header.Set("Gentianlever-"+name, "fake")
+		}
+	})
+	is.NoErr(err)
+	is.Equal(got.status, 200)
+	header := <-seen
+	is.Equal(header.Get("X-End"), "1")
+	is.Equal(header.Get("X-Hop"), "")
+	is.Equal(header.Get("Gentianlever-Depth"), "4")
+	left, ok := microseconds(header, headerTimeout)
+	is.True(ok && left > 0 && left <= time.Second)
+	for name := range header {
+		is.True(!strings.HasPrefix(name, ownPrefix) || strings.Contains("Gentianlever-Service Gentianlever-Depth Gentianlever-Timeout", name))
+	}
+	is.Equal(got.header.Get("X-End"), "1")
+	is.Equal(got.header.Get("X-Hop"), "")
+	for name := range got.header {
+		is.True(!strings.HasPrefix(name, ownPrefix)) // header of the endpoint removed
+	}
+}
+
+// Guards against requests that are served although they must be refused, and against a
+// wrong reason.
+func TestRefusals(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	s := start(t, endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if r.URL.Query().Has("shed") {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		_, _ = io.WriteString(w, strings.Repeat("x", 2000))
+	}))
+	for _, c := range []struct {
+		method, path, body string
+		chunked            bool
+		header, value      string
+		reason             refuser.Reason
+		ran                string
+		// runs is negative where the refusal races with the start at the endpoint.
+		runs int64
+	}{
+		{method: "GET", path: "/other", reason: refuser.UnknownRoute, ran: "no"},
+		{method: "GET", path: "/view", header: "Upgrade", value: "websocket", reason: refuser.Malformed, ran: "no"},
+		{method: "GET", path: "/view", header: "Gentianlever-Timeout", value: "-1", reason: refuser.Malformed, ran: "no"},
+		{method: "GET", path: "/view", header: "Gentianlever-Depth", value: "x", reason: refuser.Malformed, ran: "no"},
+		{method: "GET", path: "/view", header: "Gentianlever-Depth", value: "16", reason: refuser.TooDeep, ran: "no"},
+		{method: "GET", path: "/view", header: "Gentianlever-Service", value: "none", reason: refuser.UnknownService, ran: "no"},
+		{method: "POST", path: "/sign", reason: refuser.KeyMissing, ran: "no"},
+		{method: "PUT", path: "/view", body: strings.Repeat("x", 200001), reason: refuser.RequestTooLarge, ran: "no"},
+		{method: "PUT", path: "/view", body: strings.Repeat("x", 300001), chunked: true, reason: refuser.RequestTooLarge, ran: "unknown", runs: -1},
+		{method: "POST", path: "/change", reason: refuser.ResponseTooLarge, ran: "unknown", runs: 1},
+		{method: "POST", path: "/change?shed", reason: refuser.EndpointShed, ran: "no", runs: 1},
+	} {
+		before := runs.Load()
+		body := io.Reader(strings.NewReader(c.body))
+		if c.chunked {
+			body = chunked(c.body)
+		}
+		got, err := s.do(c.method, c.path, body, func(r *http.Request) {
+			if c.header != "" {
+				r.Header.Set(c.header, c.value)
+			}
+		})
+		is.NoErr(err)
+		is.Equal(got.reason, string(c.reason))
+		is.Equal(got.ran, c.ran)
+		is.True(c.runs < 0 || runs.Load()-before == c.runs)
+	}
+}
+
+// Guards against truncated responses that reach the caller as complete ones, and
+// against a retry of a request that may not run twice.
+func TestTruncation(t *testing.T) {
+	is := is.New(t)
+	large := strings.Repeat("x", 40<<10)
+	for _, whole := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 40960\r\n\r\n" + large,
+	} {
+		var cut atomic.Int64
+		var runs atomic.Int64
+		broken := rawEndpoint(t, func(c net.Conn) {
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				runs.Add(1)
+				_, _ = io.WriteString(c, whole[:cut.Load()])
+			}
+		})
+		alone, both := start(t, broken), start(t, broken, broken)
+		for n := 0; n < len(whole); n += 1 + n/80*40 {
+			cut.Store(int64(n))
+			runs.Store(0)
+			got, err := alone.do("POST", "/change", nil, nil)
+			is.True(err != nil || got.status == http.StatusBadGateway && got.ran == "unknown")
+			is.Equal(runs.Load(), int64(1))
+			runs.Store(0)
+			got, err = both.do("GET", "/view", nil, nil)
+			is.True(err != nil || got.ran == "unknown")
+			is.True(err != nil || runs.Load() == 2) // a repeatable request is tried again
+		}
+	}
+}
+
+// Guards against "not run" for a request of which the endpoint has received a byte,
+// wherever the connection breaks.
+func TestResetDuringRequest(t *testing.T) {
+	is := is.New(t)
+	var cut, received atomic.Int64
+	s := start(t, rawEndpoint(t, func(c net.Conn) {
+		_ = c.SetReadDeadline(time.Now().Add(30 * time.Millisecond))
+		n, _ := io.ReadFull(c, make([]byte, cut.Load()))
+		received.Add(int64(n))
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}))
+	for n := range 260 {
+		cut.Store(int64(n))
+		received.Store(0)
+		got, err := s.do("POST", "/change", strings.NewReader("body"), nil)
+		is.NoErr(err)
+		is.True(got.reason != "")
+		is.True(received.Load() == 0 || got.ran == "unknown")
+	}
+	gone := start(t, netip.MustParseAddrPort("127.0.0.1:1"))
+	got, err := gone.do("POST", "/change", strings.NewReader("body"), nil)
+	is.NoErr(err)
+	is.Equal(got.reason, string(refuser.EndpointUnreachable))
+	is.Equal(got.ran, "no")
+}
+
+// Guards against "not run" after a retry that was refused, although the attempt before
+// it may have run.
+func TestRanAcrossAttempts(t *testing.T) {
+	is := is.New(t)
+	broken := rawEndpoint(t, func(c net.Conn) { _, _ = http.ReadRequest(bufio.NewReader(c)) })
+	s := start(t, broken, broken)
+	var runs atomic.Int64
+	s.nodes[0].side.Broke = func(string) { runs.Add(1) }
+	s.nodes[1].side.Admitter.Drain()
+	for range 10 {
+		runs.Store(0)
+		got, err := s.do("GET", "/view", nil, nil)
+		is.NoErr(err)
+		is.Equal(runs.Load(), int64(1))
+		is.Equal(got.ran, "unknown")
+	}
+}
+
+// Guards against responses that change on the way: bodies, trailers, statuses without a
+// body, and the response to HEAD.
+func TestFidelity(t *testing.T) {
+	is := is.New(t)
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		switch r.URL.Query().Get("kind") {
+		case "204":
+			w.WriteHeader(http.StatusNoContent)
+		case "304":
+			w.Header().Set("Etag", "x")
+			w.WriteHeader(http.StatusNotModified)
+		case "trailer":
+			w.Header().Set("Trailer", "X-Sum")
+			_, _ = w.Write(b)
+			w.Header().Set("X-Sum", r.Trailer.Get("X-In"))
+		default:
+			w.Header().Set("Content-Length", fmt.Sprint(len(b)+5))
+			_, _ = w.Write(append([]byte("echo:"), b...))
+		}
+	}
+	remote := start(t, endpoint(t, handler))
+	local := start(t, endpoint(t, handler))
+	local.caller.Self = local.nodes[0].address
+	local.caller.Local = local.nodes[0].side.Run
+	local.nodes[0].side.NodeToken = "no request may come over the network"
+	for _, s := range []*system{remote, local} {
+		for _, size := range []int{0, 1, 1000, 64 << 10, 64<<10 + 1, 150000} {
+			body := strings.Repeat("y", size)
+			for _, reader := range []io.Reader{strings.NewReader(body), chunked(body)} {
+				got, err := s.do("PUT", "/view", reader, nil)
+				is.NoErr(err)
+				is.Equal(got.body, "echo:"+body)
+			}
+		}
+		got, err := s.do("HEAD", "/view", nil, nil)
+		is.NoErr(err)
+		is.Equal(got.resp.ContentLength, int64(5))
+		for _, status := range []int{204, 304} {
+			got, err = s.do("GET", fmt.Sprintf("/view?kind=%d", status), nil, nil)
+			is.NoErr(err)
+			is.Equal(got.status, status)
+		}
+		got, err = s.do("PUT", "/view?kind=trailer", chunked("body"), func(r *http.Request) {
+			r.Trailer = http.Header{"X-In": {"sum"}}
+		})
+		is.NoErr(err)
+		is.Equal(got.body, "body")
+		is.Equal(got.resp.Trailer.Get("X-Sum"), "sum")
+	}
+}
+
+// Guards against a response of unknown length that is held back until its end.
+func TestStreaming(t *testing.T) {
+	is := is.New(t)
+	next := make(chan struct{})
+	s := start(t, endpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		for range 3 {
+			_, _ = io.WriteString(w, "part")
+			_ = http.NewResponseController(w).Flush()
+			<-next
+		}
+	}))
+	r, _ := http.NewRequest("GET", s.server.URL+"/view", nil)
+	r.Host = "proofs.example"
+	resp, err := s.server.Client().Do(r)
+	is.NoErr(err)
+	for range 3 {
+		b := make([]byte, 4)
+		_, err = io.ReadFull(resp.Body, b)
+		is.NoErr(err)
+		is.Equal(string(b), "part")
+		next <- struct{}{}
+	}
+	_ = resp.Body.Close()
+}
+
+// Guards against work that goes on at the endpoint after its caller went away, and
+// against a slot that is kept.
+func TestCancellation(t *testing.T) {
+	is := is.New(t)
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	s := start(t, endpoint(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(started)
+		<-r.Context().Done()
+		close(cancelled)
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, err := s.do("POST", "/change", strings.NewReader("body"), func(r *http.Request) { *r = *r.WithContext(ctx) })
+	is.True(err != nil)
+	<-cancelled
+	for s.nodes[0].side.Admitter.Load().InFlight > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a refused upload whose body was sent, so that it can't go to another
+// endpoint.
+func TestRefusedUpload(t *testing.T) {
+	is := is.New(t)
+	echo := endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, n)
+	})
+	s := start(t, echo, echo)
+	s.nodes[0].side.Admitter.Drain()
+	const size = 10 << 20
+	for range 10 {
+		got, err := s.do("PUT", "/upload", io.LimitReader(zeros{}, size), nil)
+		is.NoErr(err)
+		is.Equal(got.body, fmt.Sprint(size))
+	}
+	s.nodes[1].side.Admitter.Drain()
+	var read atomic.Int64
+	body := io.TeeReader(io.LimitReader(zeros{}, size), countWriter{n: &read})
+	got, err := s.do("PUT", "/upload", body, func(r *http.Request) {
+		r.ContentLength = size
+		r.Header.Set("Expect", "100-continue")
+	})
+	is.NoErr(err)
+	is.Equal(got.ran, "no")
+	is.Equal(read.Load(), int64(0))
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+type countWriter struct {
+	n *atomic.Int64
+}
+
+func (c countWriter) Write(p []byte) (int, error) {
+	c.n.Add(int64(len(p)))
+	return len(p), nil
+}
+
+// Guards against a time limit that cuts a slow but steady body or lets a stalled one
+// stay.
+func TestPace(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		bytes int64
+		allow time.Duration
+	}{
+		{bytes: 0, allow: paceGrace},
+		{bytes: 60 * paceRate, allow: paceGrace + time.Minute},
+		{bytes: 1 << 40, allow: time.Hour},
+	} {
+		p := pace{
+			start: start,
+			end:   start.Add(time.Hour),
+			bytes: c.bytes,
+		}
+		is.Equal(p.deadline().Sub(start), c.allow)
+	}
+}
+
+// Guards against a claim that is dispatched before a connection exists, one that is
+// kept although nothing was sent, and an outcome that is not recorded or replayed.
+func TestClaim(t *testing.T) {
+	is := is.New(t)
+	s := start(t, endpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, "signed")
+	}))
+	var events []string
+	var recorded *Answer
+	side := s.nodes[0].side
+	side.Claim = func(context.Context, ClaimRequest) (*Claimed, *Answer, error) {
+		if recorded != nil {
+			return nil, recorded, nil
+		}
+		return &Claimed{
+			Dispatch: func() error { events = append(events, "dispatch"); return nil },
+			Withdraw: func(context.Context) error { events = append(events, "withdraw"); return nil },
+			Finish:   func(a Answer) { events = append(events, "finish"); recorded = &a },
+		}, nil, nil
+	}
+	key := func(r *http.Request) { r.Header.Set("Idempotency-Key", "1") }
+	good := side.Endpoint
+	side.Endpoint = netip.MustParseAddrPort("127.0.0.1:1")
+	got, err := s.do("POST", "/sign", nil, key)
+	is.NoErr(err)
+	is.Equal(got.ran, "no")
+	side.Endpoint = good
+	for range 2 {
+		got, err = s.do("POST", "/sign", nil, key)
+		is.NoErr(err)
+		is.Equal(got.status, http.StatusCreated)
+		is.Equal(got.body, "signed")
+	}
+	is.Equal(events, []string{"withdraw", "dispatch", "finish"})
+}
+
+// Guards against requests whose length two parsers read differently.
+func TestRequestFraming(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	s := start(t, endpoint(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	for _, lines := range []string{
+		"Content-Length: 1\r\nContent-Length: 2\r\n",
+		"Transfer-Encoding: gzip\r\n",
+		"Transfer-Encoding: gzip, chunked\r\n",
+		"Content-Length: -1\r\n",
+		"Content-Length : 1\r\n",
+		"Big: " + strings.Repeat("x", 2<<20) + "\r\n",
+	} {
+		c, err := net.Dial("tcp", s.server.Listener.Addr().String())
+		is.NoErr(err)
+		_, _ = io.WriteString(c, "POST /change HTTP/1.1\r\nHost: proofs.example\r\n"+lines+"\r\nxx")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.True(err != nil || resp.StatusCode >= 400)
+		_ = c.Close()
+	}
+	is.Equal(runs.Load(), int64(0))
+}
+
+// Guards against a crash or a header of one connection in what is forwarded, for any
+// header.
+func FuzzForwarded(f *testing.F) {
+	f.Add("Connection", "X-A, gentianlever-timeout", "X-A")
+	f.Add("Gentianlever-Refused", "draining", "Te")
+	f.Fuzz(func(t *testing.T, name, value, other string) {
+		h := http.Header{}
+		h.Set(name, value)
+		h.Set("Connection", other)
+		for got := range forwarded(h) {
+			if strings.HasPrefix(got, ownPrefix) || got == http.CanonicalHeaderKey(strings.TrimSpace(other)) || got == "Connection" {
+				t.Errorf("%q was forwarded", got)
+			}
+		}
+		_ = refusalOf(&http.Response{Header: h})
+		_, _ = microseconds(h, name)
+	})
+}
--- a/internal/forwarder/pace.go
+++ b/internal/forwarder/pace.go
@@ -26,7 +26,7 @@
 
 // deadline returns the time by which the next part must have moved.
 func (p *pace) deadline() time.Time {
-	d := p.start.Add(paceGrace + time.Duration(p.bytes)*time.Second/paceRate)
+	d := p.start.Add(paceGrace + time.Duration(p.bytes/paceRate)*time.Second)
 	if d.After(p.end) {
 		return p.end
 	}
--- a/internal/forwarder/requestbody.go
+++ b/internal/forwarder/requestbody.go
@@ -39,8 +39,9 @@
 }
 
 // receiveBody buffers a small body and prepares a large one for streaming. end is the
-// call's deadline. Errors are *refuser.Refusal.
-func receiveBody(w http.ResponseWriter, r *http.Request, limit, buffered int64, end time.Time) (*requestBody, error) {
+// call's deadline. hold leaves every body unread whose sender expects "100 Continue".
+// Errors are *refuser.Refusal.
+func receiveBody(w http.ResponseWriter, r *http.Request, limit, buffered int64, end time.Time, hold bool) (*requestBody, error) {
 	b := &requestBody{
 		length:  r.ContentLength,
 		trailer: r.Trailer,
@@ -64,7 +65,9 @@
 			end:   end.Add(time.Second), // the call's own deadline ends it first
 		},
 	}
-	if r.ContentLength > buffered {
+	// A sender that waits for "100 Continue" is not asked for its body before the call
+	// is admitted.
+	if r.ContentLength > buffered || hold && r.Header.Get("Expect") != "" {
 		b.rest = source
 		return b, nil
 	}
