--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,7 @@
 # The race detector on the packages that share state between goroutines.
 race:
 	go test -race ./internal/...
+
+# Remakes the committed code of the messages between nodes.
+generate:
+	$(GENERATE) buf generate
--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -39,22 +39,29 @@
 	Current func(service string) (distributor.Change, bool)
 	// Services returns the changes in force of all services.
 	Services func() []distributor.Change
+	// History returns the accepted changes of a service, the latest first.
+	History func(ctx context.Context, service string) ([]distributor.Change, error)
 	// Status returns the state of the node.
 	Status func() Status
 }
 
 // Status is the state of a node.
 type Status struct {
-	Node      announcer.Member   `json:"node"`
-	Version   string             `json:"version"`
-	Documents []DocumentStatus   `json:"documents"`
-	Members   []announcer.Member `json:"members"`
+	Node    announcer.Member `json:"node"`
+	Version string           `json:"version"`
+	// Revision is the head revision of the node's documents.
+	Revision  uint64                 `json:"revision"`
+	Table     distributor.TableState `json:"table"`
+	Documents []DocumentStatus       `json:"documents"`
+	// Members are all that the node remembers, with their states.
+	Members []announcer.Member `json:"members"`
 }
 
 // DocumentStatus is the version of a document in force on a node.
 type DocumentStatus struct {
 	Service   string `json:"service"`
 	Version   uint64 `json:"version"`
+	Revision  uint64 `json:"revision"`
 	Withdrawn bool   `json:"withdrawn"`
 }
 
@@ -88,6 +95,7 @@
 	router.GET("/metrics", a.metrics)
 	router.GET("/v1/status", a.status)
 	router.GET("/v1/documents/:service", a.show)
+	router.GET("/v1/documents/:service/history", a.history)
 	router.PUT("/v1/documents/:service", a.put)
 	router.DELETE("/v1/documents/:service", a.withdraw)
 	return router
@@ -117,6 +125,23 @@
 	respond(w, http.StatusOK, describe(c))
 }
 
+func (a *Administrator) history(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	changes, err := a.History(r.Context(), params.ByName("service"))
+	if err != nil {
+		a.fail(w, err)
+		return
+	}
+	if len(changes) == 0 {
+		respond(w, http.StatusNotFound, Failure{Error: "no document of that service was accepted"})
+		return
+	}
+	versions := make([]Document, 0, len(changes))
+	for _, c := range changes {
+		versions = append(versions, describe(c))
+	}
+	respond(w, http.StatusOK, versions)
+}
+
 func describe(c distributor.Change) Document {
 	return Document{
 		Service:   c.Service,
--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -3,121 +3,347 @@
 
 import (
 	"context"
-	"encoding/json"
+	"math"
+	"math/rand/v2"
 	"net/netip"
+	"sort"
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
+
 	"github.com/gentianlever/gentianlever/internal/storer"
 )
 
-// Member is one node with its endpoint.
-type Member struct {
-	// ID is the name of the node's VM.
-	ID               string         `json:"id"`
-	Service          string         `json:"service"`
-	AvailabilityZone string         `json:"availability-zone"`
-	Region           string         `json:"region"`
-	Address          netip.AddrPort `json:"address"`
-	AdminAddress     netip.AddrPort `json:"admin-address"`
-	// Incarnation rises with each start of the node.
-	Incarnation uint64 `json:"incarnation"`
-	Draining    bool   `json:"draining"`
-}
-
 const (
-	partition    = "members"
-	readInterval = time.Second
-	maxMembers   = 2000
+	pingInterval = time.Second
+	// pingTimeout leaves the indirect pings 700 ms of the interval; the slowest
+	// round trip between regions is about 30 ms.
+	pingTimeout  = 300 * time.Millisecond
+	indirectVias = 3
+	// suspicionFactor times log10(n) seconds is the time to refute: 4 s up to ten
+	// members and 12.7 s with 1,500.
+	suspicionFactor = 4
+	// retransmitFactor times log10(n+1), rounded up, is the number of messages that
+	// carry one update.
+	retransmitFactor = 4
+	// maxUpdates and maxSuspects keep a message below 1,200 bytes: a member takes
+	// about 110 bytes and a fingerprint 32.
+	maxUpdates  = 6
+	maxSuspects = 4
+	// noticeFanout members learn of a new revision at once. Each of them notifies as
+	// many, which reaches 95% of the members; pings reach the others.
+	noticeFanout = 3
+	// leaveFanout members learn at once that this node drains or leaves.
+	leaveFanout = 8
+	// maxVerified bounds the extra pings a second that check records on which two
+	// nodes differ.
+	maxVerified  = 5
+	syncInterval = 60 * time.Second
+	syncTimeout  = 5 * time.Second
+	// failedRetention is longer than any loss of contact between regions seen so far.
+	failedRetention = 6 * time.Hour
+	lateTick        = 2 * pingInterval
 )
 
 // Announcer announces this node and learns of the others. Set the exported fields
 // before Run.
 type Announcer struct {
-	Self  Member
+	// Self is this node's record at its start. Use Own to read it later.
+	Self Member
+	// Seeds are addresses of nodes to ask first.
+	Seeds []netip.AddrPort
 	Table storer.Table
-	// Changed is called with all members after each change.
+	// Seed is the seed of the random choices.
+	Seed uint64
+	// Send sends a message without waiting for an answer.
+	Send func(to netip.AddrPort, m Message) error
+	// Sync calls HandleSync of the node at an address.
+	Sync func(ctx context.Context, to netip.AddrPort, r SyncRequest) (SyncResponse, error)
+	// Changed is called with the members that are present after each change, this
+	// node included. Calls do not overlap.
 	Changed func(members []Member)
+	// Revision returns the head revision of this node's documents.
+	Revision func() uint64
+	// Newer is called when a member has a higher revision. It must not block.
+	Newer func(from Member, revision uint64)
+	// Suspects returns fingerprints to send, at most 4 of 32 bytes are used.
+	Suspects func() [][]byte
+	// SuspectsReceived is called with the fingerprints of a message.
+	SuspectsReceived func(fingerprints [][]byte)
+
+	// DisableRefutation and DisableFailedSync switch a mechanism off. Tests show
+	// with them that the mechanism is needed.
+	DisableRefutation bool
+	DisableFailedSync bool
+
+	once     sync.Once
+	changed  chan struct{}
+	writeNow chan struct{}
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	members  map[string]*record
+	news     map[string]*update
+	order    []string
+	next     int
+	sequence uint64
+	probes   map[uint64]*probe
+	relays   map[uint64]relay
+	verify   []string
+	lastTick time.Time
+	// rowVersion is the version of this node's row; zero before it is written.
+	rowVersion uint64
+}
+
+// record is a member and the time since which its state has held.
+type record struct {
+	member Member
+	since  time.Time
+}
+
+type update struct {
+	member Member
+	sent   int
+}
 
-	mu      sync.Mutex
-	members []Member
+// probe is a ping that has not been answered.
+type probe struct {
+	target   Member
+	sent     time.Time
+	indirect bool
+}
+
+// relay is an indirect ping that this node sends for another one.
+type relay struct {
+	origin   netip.AddrPort
+	sequence uint64
+	sent     time.Time
+}
+
+// envelope is a message with its receiver, sent after the lock is released.
+type envelope struct {
+	to      netip.AddrPort
+	message Message
+}
+
+func (a *Announcer) open() {
+	a.once.Do(func() {
+		a.changed = make(chan struct{}, 1)
+		a.writeNow = make(chan struct{}, 1)
+		a.random = rand.New(rand.NewPCG(a.Seed, a.Seed))
+		a.members = make(map[string]*record)
+		a.news = make(map[string]*update)
+		a.probes = make(map[uint64]*probe)
+		a.relays = make(map[uint64]relay)
+		a.Self.Started = a.Self.Incarnation
+		a.members[a.Self.ID] = &record{
+			member: a.Self,
+			since:  time.Now(),
+		}
+		a.enqueue(a.Self)
+	})
 }
 
 // Run announces this node and follows the others until ctx ends.
 func (a *Announcer) Run(ctx context.Context) error {
-	ticker := time.NewTicker(readInterval)
-	defer ticker.Stop()
-	announced := false
-	for {
-		if !announced {
-			announced = a.announce(ctx) == nil
-		}
-		a.read(ctx)
-		select {
-		case <-ctx.Done():
+	a.open()
+	a.signal()
+	p := pool.New().WithContext(ctx)
+	for _, loop := range []func(context.Context){a.pingLoop, a.syncLoop, a.join, a.rowLoop, a.changeLoop} {
+		p.Go(func(ctx context.Context) error {
+			loop(ctx)
 			return nil
-		case <-ticker.C:
-		}
+		})
 	}
+	return p.Wait()
 }
 
-// Leave removes this node's row.
-func (a *Announcer) Leave(ctx context.Context) {
-	_ = a.Table.Write(ctx, []storer.Write{
-		{
-			Row: storer.Row{
-				Key: storer.Key{
-					Partition: partition,
-					Sort:      a.Self.ID,
-				},
-			},
-			Condition: storer.VersionIs,
-			IfVersion: a.Self.Incarnation,
-			Delete:    true,
-		},
-	})
+// Own returns this node's record.
+func (a *Announcer) Own() Member {
+	a.open()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.own()
 }
 
-// Members returns all members.
+func (a *Announcer) own() Member { return a.members[a.Self.ID].member }
+
+// Members returns all known members with their states in the order of their IDs,
+// this node included.
 func (a *Announcer) Members() []Member {
+	a.open()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.members
+	members := make([]Member, 0, len(a.members))
+	for _, r := range a.members {
+		members = append(members, r.member)
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].ID < members[j].ID })
+	return members
 }
 
-func (a *Announcer) announce(ctx context.Context) error {
-	body, err := json.Marshal(a.Self)
-	if err != nil {
-		return err
+// Present returns the members that are alive or only suspected.
+func (a *Announcer) Present() []Member {
+	all := a.Members()
+	present := all[:0]
+	for _, m := range all {
+		if m.Present() {
+			present = append(present, m)
+		}
 	}
-	return a.Table.Write(ctx, []storer.Write{
-		{
-			Row: storer.Row{
-				Key: storer.Key{
-					Partition: partition,
-					Sort:      a.Self.ID,
-				},
-				Version: a.Self.Incarnation,
-				Body:    body,
+	return present
+}
+
+// Drain announces that this node takes no new requests.
+func (a *Announcer) Drain() {
+	a.revise(func(m *Member) { m.Draining = true })
+	a.notify(leaveFanout)
+}
+
+// Notify tells a few random members the current revision at once.
+func (a *Announcer) Notify(uint64) { a.notify(noticeFanout) }
+
+// Leave announces that this node has stopped, and removes its row.
+func (a *Announcer) Leave(ctx context.Context) {
+	a.revise(func(m *Member) { m.State = Left })
+	a.notify(leaveFanout)
+	a.deleteRow(ctx)
+}
+
+// revise changes this node's own record under a new incarnation.
+func (a *Announcer) revise(change func(m *Member)) {
+	a.open()
+	a.mu.Lock()
+	m := a.own()
+	m.Incarnation++
+	change(&m)
+	a.store(m)
+	a.mu.Unlock()
+}
+
+// notify sends a notice to random members that are alive.
+func (a *Announcer) notify(count int) {
+	a.open()
+	revision, suspects := a.attachments()
+	a.mu.Lock()
+	var out []envelope
+	for _, m := range a.sample(count, "") {
+		out = append(out, a.address(m, Notice, 0, revision, suspects))
+	}
+	a.mu.Unlock()
+	a.send(out)
+}
+
+// sample returns random members that are alive, other than this node and one more.
+func (a *Announcer) sample(count int, excluded string) []Member {
+	var alive []Member
+	for id, r := range a.members {
+		if id != a.Self.ID && id != excluded && r.member.State == Alive {
+			alive = append(alive, r.member)
+		}
+	}
+	// The order of a map is not seeded.
+	sort.Slice(alive, func(i, j int) bool { return alive[i].ID < alive[j].ID })
+	a.random.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	return alive[:min(count, len(alive))]
+}
+
+// attachments returns what every message carries. No lock may be held.
+func (a *Announcer) attachments() (uint64, [][]byte) {
+	var revision uint64
+	var suspects [][]byte
+	if a.Revision != nil {
+		revision = a.Revision()
+	}
+	if a.Suspects != nil {
+		suspects = a.Suspects()
+	}
+	return revision, suspects[:min(len(suspects), maxSuspects)]
+}
+
+// address makes a message to a member.
+func (a *Announcer) address(to Member, kind Kind, sequence, revision uint64, suspects [][]byte) envelope {
+	return envelope{
+		to: to.Address,
+		message: Message{
+			Kind:     kind,
+			Sequence: sequence,
+			Sender:   a.own(),
+			Target: Member{
+				ID: to.ID,
 			},
+			Revision: revision,
+			Updates:  a.pickUpdates(to.ID),
+			Suspects: suspects,
 		},
-	})
+	}
 }
 
-func (a *Announcer) read(ctx context.Context) {
-	rows, err := a.Table.Query(ctx, partition, "", maxMembers)
-	if err != nil {
-		return
+func (a *Announcer) send(out []envelope) {
+	for _, e := range out {
+		// A lost message looks the same as one that could not be sent.
+		_ = a.Send(e.to, e.message)
 	}
-	members := make([]Member, 0, len(rows))
-	for _, row := range rows {
-		var m Member
-		if json.Unmarshal(row.Body, &m) == nil {
-			members = append(members, m)
+}
+
+// present counts the members that are alive or only suspected.
+func (a *Announcer) present() int {
+	n := 0
+	for _, r := range a.members {
+		if r.member.Present() {
+			n++
 		}
 	}
+	return n
+}
+
+// suspicionTimeout is the time that a suspected member has to refute.
+func (a *Announcer) suspicionTimeout() time.Duration {
+	scale := max(1, math.Log10(float64(a.present())))
+	return time.Duration(suspicionFactor * scale * float64(pingInterval))
+}
+
+func (a *Announcer) retransmits() int {
+	return retransmitFactor * int(math.Ceil(math.Log10(float64(a.present()+1))))
+}
+
+func (a *Announcer) signal() {
+	select {
+	case a.changed <- struct{}{}:
+	default:
+	}
+}
+
+// changeLoop calls Changed from one goroutine, so that an older list can't arrive last.
+func (a *Announcer) changeLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.changed:
+			if a.Changed != nil {
+				a.Changed(a.Present())
+			}
+		}
+	}
+}
+
+// jitter returns a random duration up to limit.
+func (a *Announcer) jitter(limit time.Duration) time.Duration {
 	a.mu.Lock()
-	a.members = members
-	a.mu.Unlock()
-	a.Changed(members)
+	defer a.mu.Unlock()
+	return time.Duration(a.random.Float64() * float64(limit))
+}
+
+// sleep waits and reports whether ctx still holds.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
 }
--- /dev/null
+++ b/internal/announcer/rows.go
@@ -0,0 +1,227 @@
+package announcer
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/gentianlever/gentianlever/internal/storer"
+)
+
+const (
+	partition = "members"
+	rowsPage  = 500
+	// firstReadSpread bounds the wait of a node without seeds for its first read of
+	// the rows. Most of the nodes that start together are pinged by an earlier
+	// reader within it and never read.
+	firstReadSpread = 3 * time.Second
+	firstSync       = 2 * time.Second
+	// contacts members of the rows are pinged, so that few readers reach all nodes.
+	contacts = 32
+	// joinRetry and the jitter of the same length separate attempts to find others.
+	joinRetry = 5 * time.Second
+	// firstWriteSpread makes 25 writes a second where 1,500 nodes start together.
+	firstWriteSpread = time.Minute
+	// rowInterval makes 5 writes a second with 1,500 nodes.
+	rowInterval = 5 * time.Minute
+	// readEvery rewrites, the rows are read again: 0.8 reads a second with 1,500
+	// nodes, and about 200 bytes a second for each.
+	readEvery = 6
+	// rowRetention is twelve rewrites, so that a row is not deleted for a few failed ones.
+	rowRetention = time.Hour
+	// maxDeletes bounds the deletes of one reader.
+	maxDeletes   = 5
+	tableTimeout = 5 * time.Second
+)
+
+// join finds other members: through the seeds at once, then through the rows.
+func (a *Announcer) join(ctx context.Context) {
+	a.joinSeeds(ctx)
+	if !a.joined() && !sleep(ctx, a.jitter(firstReadSpread)) {
+		return
+	}
+	for !a.joined() {
+		a.joinRows(ctx)
+		a.joinSeeds(ctx)
+		if !sleep(ctx, joinRetry+a.jitter(joinRetry)) {
+			return
+		}
+	}
+	// Where many nodes start together, the first partner knows few of them; each
+	// further sync doubles what both know.
+	for wait := firstSync; wait < syncInterval; wait *= 2 {
+		for _, to := range a.syncTargets() {
+			_ = a.exchange(ctx, to)
+		}
+		if !sleep(ctx, wait/2+a.jitter(wait)) {
+			return
+		}
+	}
+}
+
+func (a *Announcer) joined() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.present() > 1
+}
+
+func (a *Announcer) joinSeeds(ctx context.Context) {
+	for _, seed := range a.Seeds {
+		if seed == a.Self.Address {
+			continue
+		}
+		if a.exchange(ctx, seed) == nil {
+			return
+		}
+	}
+}
+
+// joinRows pings members of the rows. They are hints: a member counts when it answers.
+// Where the rows lack this node and are few, its own is written at once, so that
+// others find it.
+func (a *Announcer) joinRows(ctx context.Context) {
+	members, own, err := a.readRows(ctx)
+	if err == nil && !own && len(members) < contacts {
+		select {
+		case a.writeNow <- struct{}{}:
+		default:
+		}
+	}
+	revision, suspects := a.attachments()
+	a.mu.Lock()
+	a.random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	var out []envelope
+	for _, m := range members[:min(len(members), contacts)] {
+		a.sequence++
+		out = append(out, a.address(m, Ping, a.sequence, revision, suspects))
+	}
+	a.mu.Unlock()
+	a.send(out)
+}
+
+// rowLoop writes this node's row, rewrites it from time to time, and reads the rows
+// again for members that neither messages nor remembered failures lead to.
+func (a *Announcer) rowLoop(ctx context.Context) {
+	first := time.NewTimer(a.jitter(firstWriteSpread))
+	defer first.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-a.writeNow:
+	case <-first.C:
+	}
+	for count := 1; ; count++ {
+		wait := rowInterval/2 + a.jitter(rowInterval)
+		if a.writeRow(ctx) != nil {
+			wait = joinRetry + a.jitter(rowInterval/2)
+		}
+		if count%readEvery == 0 {
+			a.joinRows(ctx)
+		}
+		if !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+func (a *Announcer) writeRow(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	own := a.Own()
+	body, err := json.Marshal(own)
+	if err != nil || own.State == Left {
+		return err
+	}
+	version := uint64(time.Now().UnixNano())
+	err = a.Table.Write(ctx, []storer.Write{
+		{
+			Row: storer.Row{
+				Key: storer.Key{
+					Partition: partition,
+					Sort:      own.ID,
+				},
+				Version: version,
+				Body:    body,
+			},
+		},
+	})
+	a.mu.Lock()
+	a.rowVersion = version
+	a.mu.Unlock()
+	return err
+}
+
+func (a *Announcer) deleteRow(ctx context.Context) {
+	a.mu.Lock()
+	version := a.rowVersion
+	a.mu.Unlock()
+	if version == 0 {
+		return
+	}
+	_ = a.removeRow(ctx, storer.Row{
+		Key: storer.Key{
+			Partition: partition,
+			Sort:      a.Self.ID,
+		},
+		Version: version,
+	})
+}
+
+// removeRow deletes a row unless it was written again.
+func (a *Announcer) removeRow(ctx context.Context, row storer.Row) error {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	return a.Table.Write(ctx, []storer.Write{
+		{
+			Row: storer.Row{
+				Key: row.Key,
+			},
+			Condition: storer.VersionIs,
+			IfVersion: row.Version,
+			Delete:    true,
+		},
+	})
+}
+
+// readRows returns the members of all rows but this node's and whether this node
+// has one, and deletes a few rows of members long gone.
+func (a *Announcer) readRows(ctx context.Context) (members []Member, own bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	deletes := 0
+	for after := ""; ; {
+		rows, err := a.Table.Query(ctx, partition, after, rowsPage)
+		if err != nil {
+			return members, own, err
+		}
+		for _, row := range rows {
+			after = row.Key.Sort
+			var m Member
+			if json.Unmarshal(row.Body, &m) != nil {
+				continue
+			}
+			if m.ID == a.Self.ID {
+				own = m.Address == a.Self.Address
+				continue
+			}
+			if a.gone(row) && deletes < maxDeletes {
+				deletes++
+				_ = a.removeRow(ctx, row)
+				continue
+			}
+			members = append(members, m)
+		}
+		if len(rows) < rowsPage {
+			return members, own, nil
+		}
+	}
+}
+
+// gone reports whether a row was not written for long and its member is not present.
+// A row's version is the time of its writing in nanoseconds.
+func (a *Announcer) gone(row storer.Row) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r, ok := a.members[row.Key.Sort]
+	return time.Since(time.Unix(0, int64(row.Version))) > rowRetention && (!ok || !r.member.Present())
+}
--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -3,22 +3,18 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
+	"math/rand/v2"
+	"sort"
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
+
 	"github.com/gentianlever/gentianlever/internal/storer"
 	"github.com/gentianlever/gentianlever/internal/validator"
 )
 
-const (
-	partition    = "documents"
-	readInterval = time.Second
-	maxDocuments = 1000
-)
-
 // Edit is a change of a document that its team asks for.
 type Edit struct {
 	Service string
@@ -34,6 +30,10 @@
 
 // Change is an accepted edit.
 type Change struct {
+	// Revision is the position among the changes of all services.
+	Revision uint64 `json:"revision"`
+	// Previous is the revision of the service's change before; zero for the first.
+	Previous  uint64    `json:"previous"`
 	Version   uint64    `json:"version"`
 	Service   string    `json:"service"`
 	EditID    string    `json:"edit-id"`
@@ -43,6 +43,26 @@
 	Withdrawn bool      `json:"withdrawn"`
 }
 
+// supersedes reports whether c replaces old. The higher version does. Two different
+// changes with one version exist only after a node that did not know the later
+// versions accepted an edit on a restored table; then the one with the higher
+// revision holds, then the one with the later time, then the greater EditID. Every
+// node decides the same from the changes alone.
+func (c Change) supersedes(old Change) bool {
+	switch {
+	case c.Version != old.Version:
+		return c.Version > old.Version
+	case c.EditID == old.EditID:
+		return false
+	case c.Revision != old.Revision:
+		return c.Revision > old.Revision
+	case !c.Time.Equal(old.Time):
+		return c.Time.After(old.Time)
+	default:
+		return c.EditID > old.EditID
+	}
+}
+
 // ConflictError reports that another edit was accepted first.
 type ConflictError struct {
 	Service string
@@ -54,15 +74,58 @@
 	return fmt.Sprintf("document %q is at version %d, which is not the version that the edit replaces", e.Service, e.Current)
 }
 
+// TableState is what the last reads of the head row showed.
+type TableState struct {
+	// Revision is the head revision in the table.
+	Revision uint64 `json:"revision"`
+	// Reachable is false after a read that failed.
+	Reachable bool `json:"reachable"`
+	// Behind is set while the table holds a lower revision than this node.
+	Behind bool `json:"behind"`
+	// Repairs counts the times that this node brought the table up to date.
+	Repairs int `json:"repairs"`
+}
+
 // Distributor holds the documents in force. Set the exported fields before Run.
 type Distributor struct {
 	Table storer.Table
-	// Applied is called after a document version is in force on this node.
+	// Seed is the seed of the random choices.
+	Seed uint64
+	// Fetch returns the changes in force on a node after a revision.
+	Fetch func(ctx context.Context, from string, since uint64) ([]Change, error)
+	// Notify tells other nodes that this node has a new revision.
+	Notify func(revision uint64)
+	// Applied is called after a document version is in force on this node; d is nil
+	// for a withdrawn one. Calls do not overlap and versions only rise.
 	Applied func(c Change, d *validator.Document)
-
-	mu      sync.Mutex
+	// Members returns the number of nodes that share the reading of the head row.
+	Members func() int
+	// Behind counts reads of a head revision that is lower than this node's.
+	Behind func(revision uint64)
+	// Rejected is called for a change in the table that is not valid on this node.
+	Rejected func(c Change, err error)
+
+	// DisableMonotonic and DisableSettling switch a mechanism off. Tests show with
+	// them that the mechanism is needed.
+	DisableMonotonic bool
+	DisableSettling  bool
+
+	once   sync.Once
+	wake   chan struct{}
+	update chan struct{}
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	revision uint64
+	// known holds the highest change of each service, valid here or not, for others.
+	known   map[string]Change
 	current map[string]entry
 	hosts   map[string]string
+	pending map[string]bool
+	// announced is the highest revision that another node has, and source that node.
+	announced uint64
+	source    string
+	state     TableState
 }
 
 type entry struct {
@@ -70,71 +133,29 @@
 	document *validator.Document
 }
 
+func (d *Distributor) open() {
+	d.once.Do(func() {
+		d.wake = make(chan struct{}, 1)
+		d.update = make(chan struct{}, 1)
+		d.random = rand.New(rand.NewPCG(d.Seed, d.Seed))
+		d.known = make(map[string]Change)
+		d.current = make(map[string]entry)
+		d.hosts = make(map[string]string)
+		d.pending = make(map[string]bool)
+	})
+}
+
 // Run follows accepted documents until ctx ends.
 func (d *Distributor) Run(ctx context.Context) error {
-	ticker := time.NewTicker(readInterval)
-	defer ticker.Stop()
-	for {
-		d.read(ctx)
-		select {
-		case <-ctx.Done():
+	d.open()
+	p := pool.New().WithContext(ctx)
+	for _, loop := range []func(context.Context){d.headLoop, d.fetchLoop, d.deliverLoop} {
+		p.Go(func(ctx context.Context) error {
+			loop(ctx)
 			return nil
-		case <-ticker.C:
-		}
-	}
-}
-
-// Apply accepts an edit. It returns a *ConflictError where another was first, and
-// a *validator.FaultsError for a document with faults.
-func (d *Distributor) Apply(ctx context.Context, e Edit) (Change, error) {
-	if !e.Withdraw {
-		if _, err := validator.ParseDocument(e.Service, e.Document); err != nil {
-			return Change{}, err
-		}
-	}
-	c := Change{
-		Version:   e.BaseVersion + 1,
-		Service:   e.Service,
-		EditID:    e.EditID,
-		Author:    e.Author,
-		Time:      time.Now().UTC(),
-		Document:  e.Document,
-		Withdrawn: e.Withdraw,
-	}
-	body, err := json.Marshal(c)
-	if err != nil {
-		return Change{}, err
-	}
-	w := storer.Write{
-		Row: storer.Row{
-			Key: storer.Key{
-				Partition: partition,
-				Sort:      e.Service,
-			},
-			Version: c.Version,
-			Body:    body,
-		},
-		Condition: storer.VersionIs,
-		IfVersion: e.BaseVersion,
-	}
-	if e.BaseVersion == 0 {
-		w.Condition = storer.Absent
-	}
-	err = d.Table.Write(ctx, []storer.Write{w})
-	var conflict *storer.ConditionError
-	if errors.As(err, &conflict) {
-		d.read(ctx)
-		current, _ := d.Current(e.Service)
-		return Change{}, &ConflictError{
-			Service: e.Service,
-			Current: current.Version,
-		}
+		})
 	}
-	if err != nil {
-		return Change{}, err
-	}
-	d.apply(c)
-	return c, nil
+	return p.Wait()
 }
 
 // Current returns the change in force of a service, and false where there is none.
@@ -153,6 +174,7 @@
 	for _, e := range d.current {
 		changes = append(changes, e.change)
 	}
+	sort.Slice(changes, func(i, j int) bool { return changes[i].Service < changes[j].Service })
 	return changes
 }
 
@@ -170,58 +192,57 @@
 	return e.document, true
 }
 
-func (d *Distributor) read(ctx context.Context) {
-	rows, err := d.Table.Query(ctx, partition, "", maxDocuments)
-	if err != nil {
-		return
-	}
-	for _, row := range rows {
-		var c Change
-		if json.Unmarshal(row.Body, &c) == nil {
-			d.apply(c)
-		}
-	}
+// Revision returns the revision up to which this node knows all changes.
+func (d *Distributor) Revision() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.revision
 }
 
-// apply puts a change in force unless the node has that version or a higher one.
-func (d *Distributor) apply(c Change) {
-	var document *validator.Document
-	if !c.Withdrawn {
-		parsed, err := validator.ParseDocument(c.Service, c.Document)
-		if err != nil {
-			return
+// TableState returns what the last reads of the head row showed.
+func (d *Distributor) TableState() TableState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state
+}
+
+// Since returns the highest change of each service whose revision is above one, in
+// the order of their revisions. Changes that were replaced since are left out.
+func (d *Distributor) Since(revision uint64) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var changes []Change
+	for _, c := range d.known {
+		if c.Revision > revision {
+			changes = append(changes, c)
 		}
-		document = parsed
-	}
-	if d.replace(c, document) {
-		d.Applied(c, document)
 	}
+	sort.Slice(changes, func(i, j int) bool { return changes[i].Revision < changes[j].Revision })
+	return changes
 }
 
-func (d *Distributor) replace(c Change, document *validator.Document) bool {
+// jitter returns a random duration up to limit.
+func (d *Distributor) jitter(limit time.Duration) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.current == nil {
-		d.current = make(map[string]entry)
-		d.hosts = make(map[string]string)
+	return time.Duration(d.random.Float64() * float64(limit))
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
 	}
-	old, ok := d.current[c.Service]
-	if ok && old.change.Version >= c.Version {
+}
+
+// sleep waits and reports whether ctx still holds.
+func sleep(ctx context.Context, t time.Duration) bool {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
 		return false
+	case <-timer.C:
+		return true
 	}
-	if old.document != nil {
-		for _, host := range old.document.Hosts {
-			delete(d.hosts, host)
-		}
-	}
-	if document != nil {
-		for _, host := range document.Hosts {
-			d.hosts[host] = c.Service
-		}
-	}
-	d.current[c.Service] = entry{
-		change:   c,
-		document: document,
-	}
-	return true
 }
--- /dev/null
+++ b/internal/distributor/follow.go
@@ -0,0 +1,184 @@
+package distributor
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/gentianlever/gentianlever/internal/storer"
+)
+
+const (
+	// readsPerSecond is the rate at which all nodes together read the head row.
+	readsPerSecond = 100
+	leastPeriod    = time.Second
+	tableTimeout   = 5 * time.Second
+	fetchTimeout   = 10 * time.Second
+	// pageRows rows of at most 400 KB; the table service cuts a page at 1 MB.
+	pageRows   = 50
+	maxHistory = 100
+	// maxMissed changes are read one by one; with more, reading all services is less.
+	maxMissed = 200
+	// behindReads lower reads in a row start a repair, so that one stale read does not.
+	behindReads = 2
+)
+
+// Newer says that a node has a higher revision. It does not block.
+func (d *Distributor) Newer(from string, revision uint64) {
+	d.open()
+	d.mu.Lock()
+	if revision >= d.announced {
+		d.announced = revision
+		d.source = from
+	}
+	d.mu.Unlock()
+	signal(d.wake)
+}
+
+// period is the time between two reads of the head row by one node.
+func (d *Distributor) period() time.Duration {
+	n := 1
+	if d.Members != nil {
+		n = d.Members()
+	}
+	return max(leastPeriod, time.Duration(n)*time.Second/readsPerSecond)
+}
+
+// headLoop reads the head row in each period, at a random phase.
+func (d *Distributor) headLoop(ctx context.Context) {
+	// The first read does not wait for a whole period, so that a node that knows no
+	// other one gets its documents soon.
+	if !sleep(ctx, d.jitter(leastPeriod)) {
+		return
+	}
+	lower := d.follow(ctx, 0)
+	wait := d.jitter(d.period())
+	for sleep(ctx, wait) {
+		lower = d.follow(ctx, lower)
+		wait = d.period()
+	}
+}
+
+// follow reads the head row and brings this node or the table up to date. It takes
+// and returns the number of reads in a row that showed a lower revision.
+func (d *Distributor) follow(ctx context.Context, lower int) int {
+	head, err := d.head(ctx)
+	own := d.Revision()
+	d.mu.Lock()
+	d.state.Reachable = err == nil
+	if err == nil {
+		d.state.Revision = head
+		d.state.Behind = head < own
+	}
+	d.mu.Unlock()
+	switch {
+	case err != nil:
+		return lower
+	case head >= own:
+		// A failure is repeated with the next read.
+		_ = d.catchUp(ctx, head)
+		return 0
+	}
+	if d.Behind != nil {
+		d.Behind(head)
+	}
+	if lower++; lower < behindReads {
+		return lower
+	}
+	// A failed repair is repeated with the next read.
+	_ = d.repair(ctx, head)
+	return lower
+}
+
+// catchUp reads the changes up to the table's head revision.
+func (d *Distributor) catchUp(ctx context.Context, head uint64) error {
+	since := d.Revision()
+	if head <= since {
+		return nil
+	}
+	if since == 0 || head-since > maxMissed {
+		services, err := d.services(ctx)
+		if err != nil {
+			return err
+		}
+		changes := make([]parsed, 0, len(services))
+		for _, s := range services {
+			changes = append(changes, parse(s.Change))
+		}
+		d.put(changes, head)
+		return nil
+	}
+	var changes []parsed
+	err := d.each(ctx, changesPartition, changeKey(since).Sort, func(r storer.Row) error {
+		var c Change
+		if err := json.Unmarshal(r.Body, &c); err != nil {
+			return err
+		}
+		changes = append(changes, parse(c))
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	d.put(changes, head)
+	return nil
+}
+
+// fetchLoop fetches changes that other nodes announced.
+func (d *Distributor) fetchLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.wake:
+		}
+		d.mu.Lock()
+		source, announced, own := d.source, d.announced, d.revision
+		d.mu.Unlock()
+		if announced <= own {
+			continue
+		}
+		if source != "" && d.fetch(ctx, source, announced) == nil {
+			continue
+		}
+		// After another failure, the next message or read of the head row repeats it.
+		if head, err := d.head(ctx); err == nil {
+			_ = d.catchUp(ctx, head)
+		}
+	}
+}
+
+// The failures of a fetch after which the table decides.
+var (
+	errInvalid    = errors.New("change of a peer is not valid")
+	errIncomplete = errors.New("peer no longer has the changes that it announced")
+)
+
+// fetch gets the changes from a node that announced a revision. A node has all
+// changes up to its highest one. It may have started again since the announcement,
+// so the revision of the changes counts and not the announced one.
+func (d *Distributor) fetch(ctx context.Context, source string, announced uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	since := d.Revision()
+	fetched, err := d.Fetch(ctx, source, since)
+	if err != nil {
+		return err
+	}
+	changes := make([]parsed, 0, len(fetched))
+	revision := uint64(0)
+	for _, c := range fetched {
+		p := parse(c)
+		if p.err != nil {
+			return errInvalid
+		}
+		revision = max(revision, c.Revision)
+		changes = append(changes, p)
+	}
+	d.put(changes, revision)
+	if revision < announced {
+		return errIncomplete
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/distributor/rows.go
@@ -0,0 +1,190 @@
+package distributor
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/gentianlever/gentianlever/internal/storer"
+)
+
+// Partitions of the table. The version of a service's row is the document's
+// version; that of the head row and of a change's row is the revision.
+const (
+	servicesPartition = "documents"
+	changesPartition  = "changes"
+	headPartition     = "head"
+)
+
+// recentEdits is the number of edits of a service that can be settled by EditID.
+const recentEdits = 32
+
+// serviceRow is the body of a service's row.
+type serviceRow struct {
+	Change Change `json:"change"`
+	// Recent are the last accepted edits, the latest first.
+	Recent []acceptedEdit `json:"recent"`
+}
+
+type acceptedEdit struct {
+	EditID   string `json:"edit-id"`
+	Revision uint64 `json:"revision"`
+}
+
+// find returns the revision under which an edit was accepted.
+func (r serviceRow) find(editID string) (uint64, bool) {
+	for _, e := range r.Recent {
+		if e.EditID == editID {
+			return e.Revision, true
+		}
+	}
+	return 0, false
+}
+
+// with returns the row that follows after a change.
+func (r serviceRow) with(c Change) serviceRow {
+	recent := []acceptedEdit{
+		{
+			EditID:   c.EditID,
+			Revision: c.Revision,
+		},
+	}
+	for _, e := range r.Recent {
+		if e.EditID != c.EditID && len(recent) < recentEdits {
+			recent = append(recent, e)
+		}
+	}
+	return serviceRow{
+		Change: c,
+		Recent: recent,
+	}
+}
+
+var headKey = storer.Key{
+	Partition: headPartition,
+	Sort:      servicesPartition,
+}
+
+func serviceKey(service string) storer.Key {
+	return storer.Key{
+		Partition: servicesPartition,
+		Sort:      service,
+	}
+}
+
+// changeKey has all 20 digits of a uint64, so that keys sort by revision.
+func changeKey(revision uint64) storer.Key {
+	return storer.Key{
+		Partition: changesPartition,
+		Sort:      fmt.Sprintf("%020d", revision),
+	}
+}
+
+// put writes a row if its version is still the given one; zero is an absent row.
+func put(k storer.Key, version, ifVersion uint64, body any) (storer.Write, error) {
+	data, err := json.Marshal(body)
+	w := storer.Write{
+		Row: storer.Row{
+			Key:     k,
+			Version: version,
+			Body:    data,
+		},
+		Condition: storer.VersionIs,
+		IfVersion: ifVersion,
+	}
+	if ifVersion == 0 {
+		w.Condition = storer.Absent
+	}
+	return w, err
+}
+
+// head returns the head revision in the table, zero for none.
+func (d *Distributor) head(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	row, _, err := d.Table.Get(ctx, headKey)
+	return row.Version, err
+}
+
+// service returns a service's row with version zero where there is none.
+func (d *Distributor) service(ctx context.Context, name string) (serviceRow, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	var s serviceRow
+	row, ok, err := d.Table.Get(ctx, serviceKey(name))
+	if err != nil || !ok {
+		return s, err
+	}
+	return s, json.Unmarshal(row.Body, &s)
+}
+
+// change returns the change with a revision, and false where the table has none.
+func (d *Distributor) change(ctx context.Context, revision uint64) (Change, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	var c Change
+	row, ok, err := d.Table.Get(ctx, changeKey(revision))
+	if err != nil || !ok {
+		return c, false, err
+	}
+	return c, true, json.Unmarshal(row.Body, &c)
+}
+
+// each calls f for the rows of a partition after a sort key. A page may be shorter
+// than its limit, because the table service bounds it to 1 MB as well; only an
+// empty one is the end.
+func (d *Distributor) each(ctx context.Context, partition, after string, f func(r storer.Row) error) error {
+	for {
+		page, cancel := context.WithTimeout(ctx, tableTimeout)
+		rows, err := d.Table.Query(page, partition, after, pageRows)
+		cancel()
+		if err != nil || len(rows) == 0 {
+			return err
+		}
+		for _, r := range rows {
+			after = r.Key.Sort
+			if err := f(r); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// services returns the rows of all services.
+func (d *Distributor) services(ctx context.Context) ([]serviceRow, error) {
+	var services []serviceRow
+	err := d.each(ctx, servicesPartition, "", func(r storer.Row) error {
+		var s serviceRow
+		if err := json.Unmarshal(r.Body, &s); err != nil {
+			return err
+		}
+		services = append(services, s)
+		return nil
+	})
+	return services, err
+}
+
+// History returns the accepted changes of a service from their rows, the latest
+// first, at most 100. It ends early where a restored table lacks a row.
+func (d *Distributor) History(ctx context.Context, service string) ([]Change, error) {
+	row, err := d.service(ctx, service)
+	if err != nil || row.Change.Version == 0 {
+		return nil, err
+	}
+	changes := []Change{row.Change}
+	for len(changes) < maxHistory {
+		previous := changes[len(changes)-1].Previous
+		if previous == 0 {
+			break
+		}
+		c, ok, err := d.change(ctx, previous)
+		if err != nil {
+			return changes, err
+		}
+		if !ok || c.Service != service {
+			break
+		}
+		changes = append(changes, c)
+	}
+	return changes, nil
+}
--- /dev/null
+++ b/internal/messenger/convert.go
@@ -0,0 +1,124 @@
+package messenger
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/gentianlever/gentianlever/internal/announcer"
+	"github.com/gentianlever/gentianlever/internal/distributor"
+	"github.com/gentianlever/gentianlever/internal/messenger/proto"
+)
+
+func encodeAddress(a netip.AddrPort) []byte {
+	if !a.IsValid() {
+		return nil
+	}
+	// MarshalBinary of netip.AddrPort has no error.
+	b, _ := a.MarshalBinary()
+	return b
+}
+
+// decodeAddress returns the zero address for bytes that are none; nothing is sent to it.
+func decodeAddress(b []byte) netip.AddrPort {
+	var a netip.AddrPort
+	if len(b) == 0 || a.UnmarshalBinary(b) != nil {
+		return netip.AddrPort{}
+	}
+	return a
+}
+
+func encodeMember(m announcer.Member) *proto.Member {
+	return &proto.Member{
+		Id:               m.ID,
+		Service:          m.Service,
+		AvailabilityZone: m.AvailabilityZone,
+		Region:           m.Region,
+		Address:          encodeAddress(m.Address),
+		AdminAddress:     encodeAddress(m.AdminAddress),
+		Incarnation:      m.Incarnation,
+		Started:          m.Started,
+		State:            uint32(m.State),
+		Draining:         m.Draining,
+	}
+}
+
+func decodeMember(m *proto.Member) announcer.Member {
+	return announcer.Member{
+		ID:               m.GetId(),
+		Service:          m.GetService(),
+		AvailabilityZone: m.GetAvailabilityZone(),
+		Region:           m.GetRegion(),
+		Address:          decodeAddress(m.GetAddress()),
+		AdminAddress:     decodeAddress(m.GetAdminAddress()),
+		Incarnation:      m.GetIncarnation(),
+		Started:          m.GetStarted(),
+		State:            announcer.State(min(m.GetState(), uint32(announcer.Left))),
+		Draining:         m.GetDraining(),
+	}
+}
+
+// convert applies a conversion to each element.
+func convert[From, To any](from []From, conversion func(From) To) []To {
+	to := make([]To, 0, len(from))
+	for _, f := range from {
+		to = append(to, conversion(f))
+	}
+	return to
+}
+
+func encodeMessage(m announcer.Message, packet uint64) *proto.Datagram {
+	return &proto.Datagram{
+		Kind:          uint32(m.Kind),
+		Packet:        packet,
+		Sequence:      m.Sequence,
+		Revision:      m.Revision,
+		Sender:        encodeMember(m.Sender),
+		TargetId:      m.Target.ID,
+		TargetAddress: encodeAddress(m.Target.Address),
+		Updates:       convert(m.Updates, encodeMember),
+		Suspects:      m.Suspects,
+	}
+}
+
+func decodeMessage(d *proto.Datagram) announcer.Message {
+	return announcer.Message{
+		Kind:     announcer.Kind(d.GetKind()),
+		Sequence: d.GetSequence(),
+		Sender:   decodeMember(d.GetSender()),
+		Target: announcer.Member{
+			ID:      d.GetTargetId(),
+			Address: decodeAddress(d.GetTargetAddress()),
+		},
+		Revision: d.GetRevision(),
+		Updates:  convert(d.GetUpdates(), decodeMember),
+		Suspects: d.GetSuspects(),
+	}
+}
+
+func encodeChange(c distributor.Change) *proto.Change {
+	return &proto.Change{
+		Revision:      c.Revision,
+		Version:       c.Version,
+		Previous:      c.Previous,
+		Service:       c.Service,
+		EditId:        c.EditID,
+		Author:        c.Author,
+		TimeUnixNanos: c.Time.UnixNano(),
+		Document:      c.Document,
+		Withdrawn:     c.Withdrawn,
+	}
+}
+
+func decodeChange(c *proto.Change) distributor.Change {
+	return distributor.Change{
+		Revision:  c.GetRevision(),
+		Version:   c.GetVersion(),
+		Previous:  c.GetPrevious(),
+		Service:   c.GetService(),
+		EditID:    c.GetEditId(),
+		Author:    c.GetAuthor(),
+		Time:      time.Unix(0, c.GetTimeUnixNanos()).UTC(),
+		Document:  c.GetDocument(),
+		Withdrawn: c.GetWithdrawn(),
+	}
+}
--- /dev/null
+++ b/internal/runner/control.go
@@ -0,0 +1,217 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gentianlever/gentianlever/internal/administrator"
+	"github.com/gentianlever/gentianlever/internal/announcer"
+	"github.com/gentianlever/gentianlever/internal/counter"
+	"github.com/gentianlever/gentianlever/internal/distributor"
+	"github.com/gentianlever/gentianlever/internal/messenger"
+	"github.com/gentianlever/gentianlever/internal/persister"
+	"github.com/gentianlever/gentianlever/internal/picker"
+	"github.com/gentianlever/gentianlever/internal/storer"
+)
+
+// leaveTimeout bounds the wait for a slow table at the end of a shutdown.
+const leaveTimeout = 2 * time.Second
+
+// control holds what connects membership and documents to the other nodes.
+type control struct {
+	announcer   announcer.Announcer
+	distributor distributor.Distributor
+	udp         messenger.UDP
+	client      messenger.Client
+}
+
+// buildControl builds membership and documents. incarnation is that of this start.
+func (n *Runner) buildControl(incarnation uint64) {
+	s := n.Settings
+	table := n.counted(persister.Table(s.Platform))
+	n.client = messenger.Client{
+		MembershipKey: s.MembershipKey,
+		Sent:          n.messageSent,
+	}
+	n.client.Open()
+	n.udp = messenger.UDP{
+		Address:       s.NodesAddress,
+		MembershipKey: s.MembershipKey,
+		Receive:       n.announcer.Receive,
+		Sent:          n.messageSent,
+		Received:      func() { n.counters.Add(counter.MessagesReceived, 1) },
+		Rejected:      n.messageRejected,
+	}
+	n.announcer = announcer.Announcer{
+		Self: announcer.Member{
+			ID:               s.Name,
+			Service:          s.Service,
+			AvailabilityZone: s.AvailabilityZone,
+			Region:           s.Region(s.AvailabilityZone),
+			Address:          s.NodesAddress,
+			AdminAddress:     s.AdminAddress,
+			Incarnation:      incarnation,
+		},
+		Seeds:    s.Seeds,
+		Seed:     incarnation,
+		Table:    table,
+		Send:     n.udp.Send,
+		Sync:     n.client.Sync,
+		Changed:  n.membersChanged,
+		Revision: n.distributor.Revision,
+		Newer:    func(from announcer.Member, revision uint64) { n.distributor.Newer(from.ID, revision) },
+	}
+	n.distributor = distributor.Distributor{
+		Table:    table,
+		Seed:     incarnation,
+		Fetch:    n.fetchChanges,
+		Notify:   n.announcer.Notify,
+		Applied:  n.documentApplied,
+		Members:  func() int { return len(n.announcer.Present()) },
+		Behind:   n.tableBehind,
+		Rejected: n.changeRejected,
+	}
+}
+
+func (n *Runner) messageSent(bytes int) {
+	n.counters.Add(counter.MessagesSent, 1)
+	n.counters.Add(counter.MessageBytesSent, int64(bytes))
+}
+
+func (n *Runner) messageRejected() { n.counters.Add(counter.MessagesRejected, 1) }
+
+func (n *Runner) tableBehind(revision uint64) {
+	n.counters.Add(counter.TableBehind, 1)
+	n.Log.Warn("table holds a lower revision than this node", "table", revision, "node", n.distributor.Revision())
+}
+
+func (n *Runner) changeRejected(c distributor.Change, err error) {
+	n.Log.Error("accepted document is not valid on this node", "service", c.Service, "version", c.Version, "error", err)
+}
+
+// MemberError reports a node that is not a member, or no longer.
+type MemberError struct {
+	ID string
+}
+
+func (e *MemberError) Error() string { return "node " + e.ID + " is not a member" }
+
+func (n *Runner) fetchChanges(ctx context.Context, from string, since uint64) ([]distributor.Change, error) {
+	address, ok := n.nodeAddress(from)
+	if !ok {
+		return nil, &MemberError{ID: from}
+	}
+	return n.client.Changes(ctx, address, since)
+}
+
+func (n *Runner) nodeAddress(id string) (netip.AddrPort, bool) {
+	for _, m := range n.announcer.Present() {
+		if m.ID == id {
+			return m.Address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// nodesHandler serves the service between nodes beside the calls to the endpoint.
+func (n *Runner) nodesHandler(calls http.Handler) http.Handler {
+	service := (&messenger.Service{
+		MembershipKey: n.Settings.MembershipKey,
+		Sync:          n.announcer.HandleSync,
+		Changes:       n.distributor.Since,
+		ClaimStatus:   n.claimStatus,
+		Rejected:      n.messageRejected,
+	}).Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if messenger.Addressed(r) {
+			service.ServeHTTP(w, r)
+			return
+		}
+		calls.ServeHTTP(w, r)
+	})
+}
+
+// claimStatus knows no claims until the claimer is part of the node.
+func (n *Runner) claimStatus(context.Context, string, string) (string, *messenger.RecordedAnswer, error) {
+	return "unknown", nil, nil
+}
+
+// leave announces the end of the process.
+func (n *Runner) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	n.announcer.Leave(ctx)
+}
+
+// counted counts the operations of a table.
+func (n *Runner) counted(t storer.Table) storer.Table {
+	return storer.Table{
+		Get: func(ctx context.Context, k storer.Key) (storer.Row, bool, error) {
+			row, ok, err := t.Get(ctx, k)
+			n.countOperation(counter.TableReads, err)
+			return row, ok, err
+		},
+		Write: func(ctx context.Context, writes []storer.Write) error {
+			err := t.Write(ctx, writes)
+			n.countOperation(counter.TableWrites, err)
+			return err
+		},
+		Query: func(ctx context.Context, partition, after string, limit int) ([]storer.Row, error) {
+			rows, err := t.Query(ctx, partition, after, limit)
+			n.countOperation(counter.TableReads, err)
+			return rows, err
+		},
+	}
+}
+
+func (n *Runner) countOperation(name counter.Name, err error) {
+	n.counters.Add(name, 1)
+	if _, condition := err.(*storer.ConditionError); err != nil && !condition {
+		n.counters.Add(counter.TableErrors, 1)
+	}
+}
+
+// membersChanged gives the picker the endpoints of each service, and none for a
+// service whose last member has gone.
+func (n *Runner) membersChanged(members []announcer.Member) {
+	services := map[string][]picker.Endpoint{}
+	for _, m := range n.announcer.Members() {
+		services[m.Service] = nil
+	}
+	for _, m := range members {
+		services[m.Service] = append(services[m.Service], picker.Endpoint{
+			ID:               m.ID,
+			Service:          m.Service,
+			AvailabilityZone: m.AvailabilityZone,
+			Region:           m.Region,
+			Address:          m.Address,
+			// A refutation is no restart of the endpoint's node.
+			Incarnation: m.Started,
+			Draining:    m.Draining,
+		})
+	}
+	for service, endpoints := range services {
+		n.picker.SetEndpoints(service, endpoints)
+	}
+}
+
+func (n *Runner) status() administrator.Status {
+	status := administrator.Status{
+		Node:     n.announcer.Own(),
+		Version:  n.Version,
+		Revision: n.distributor.Revision(),
+		Table:    n.distributor.TableState(),
+		Members:  n.announcer.Members(),
+	}
+	for _, c := range n.distributor.Services() {
+		status.Documents = append(status.Documents, administrator.DocumentStatus{
+			Service:   c.Service,
+			Version:   c.Version,
+			Revision:  c.Revision,
+			Withdrawn: c.Withdrawn,
+		})
+	}
+	return status
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -13,12 +13,10 @@
 
 	"github.com/gentianlever/gentianlever/internal/administrator"
 	"github.com/gentianlever/gentianlever/internal/admitter"
-	"github.com/gentianlever/gentianlever/internal/announcer"
 	"github.com/gentianlever/gentianlever/internal/counter"
 	"github.com/gentianlever/gentianlever/internal/distributor"
 	"github.com/gentianlever/gentianlever/internal/exchanger"
 	"github.com/gentianlever/gentianlever/internal/forwarder"
-	"github.com/gentianlever/gentianlever/internal/persister"
 	"github.com/gentianlever/gentianlever/internal/picker"
 	"github.com/gentianlever/gentianlever/internal/validator"
 )
@@ -40,11 +38,10 @@
 	Version  string
 	Log      *slog.Logger
 
-	counters    counter.Counters
-	picker      picker.Picker
-	admitter    admitter.Admitter
-	announcer   announcer.Announcer
-	distributor distributor.Distributor
+	counters counter.Counters
+	picker   picker.Picker
+	admitter admitter.Admitter
+	control
 }
 
 // Run serves until ctx ends and then shuts down gracefully: requests in flight are
@@ -55,6 +52,9 @@
 	if err != nil {
 		return err
 	}
+	if err := n.udp.Listen(); err != nil {
+		return err
+	}
 	n.Log.Info("node is ready", "name", n.Settings.Name, "service", n.Settings.Service, "callers", n.Settings.CallersAddress.String())
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -62,6 +62,7 @@
 	for _, l := range listeners {
 		p.Go(func(context.Context) error { return l.serve() })
 	}
+	p.Go(n.udp.Run)
 	p.Go(n.announcer.Run)
 	p.Go(n.distributor.Run)
 	p.Go(func(background context.Context) error {
@@ -81,19 +82,19 @@
 	n.Log.Info("node is draining", "name", n.Settings.Name)
 	ctx := context.Background()
 	n.admitter.Drain()
-	n.announcer.Leave(ctx)
+	n.announcer.Drain()
 	for _, l := range listeners {
 		if err := l.server.Shutdown(ctx); err != nil {
 			n.Log.Warn("listener did not close", "address", l.Addr().String(), "error", err)
 		}
 	}
+	n.leave()
 	n.Log.Info("node has stopped", "name", n.Settings.Name)
 }
 
 func (n *Runner) build() {
 	s := n.Settings
 	n.counters.Open()
-	table := persister.Table(s.Platform)
 	incarnation := uint64(time.Now().UnixNano())
 	n.picker = picker.Picker{
 		Seed:     incarnation,
@@ -105,42 +106,7 @@
 		QueueLength: defaultSlots,
 		Incarnation: incarnation,
 	}
-	n.announcer = announcer.Announcer{
-		Self: announcer.Member{
-			ID:               s.Name,
-			Service:          s.Service,
-			AvailabilityZone: s.AvailabilityZone,
-			Region:           s.Region(s.AvailabilityZone),
-			Address:          s.NodesAddress,
-			AdminAddress:     s.AdminAddress,
-			Incarnation:      incarnation,
-		},
-		Table:   table,
-		Changed: n.membersChanged,
-	}
-	n.distributor = distributor.Distributor{
-		Table:   table,
-		Applied: n.documentApplied,
-	}
-}
-
-// membersChanged gives the picker the endpoints of each service.
-func (n *Runner) membersChanged(members []announcer.Member) {
-	services := map[string][]picker.Endpoint{}
-	for _, m := range members {
-		services[m.Service] = append(services[m.Service], picker.Endpoint{
-			ID:               m.ID,
-			Service:          m.Service,
-			AvailabilityZone: m.AvailabilityZone,
-			Region:           m.Region,
-			Address:          m.Address,
-			Incarnation:      m.Incarnation,
-			Draining:         m.Draining,
-		})
-	}
-	for service, endpoints := range services {
-		n.picker.SetEndpoints(service, endpoints)
-	}
+	n.buildControl(incarnation)
 }
 
 // documentApplied puts the limits of the node's own service in force.
@@ -184,7 +150,7 @@
 		},
 		{
 			address: s.NodesAddress.String(),
-			handler: &forwarder.EndpointSide{
+			handler: n.nodesHandler(&forwarder.EndpointSide{
 				Service:   s.Service,
 				Endpoint:  s.EndpointAddress,
 				NodeToken: token,
@@ -192,7 +158,7 @@
 				Admitter:  &n.admitter,
 				Exchanger: newExchanger(),
 				Counters:  &n.counters,
-			},
+			}),
 		},
 		{
 			address: s.AdminAddress.String(),
@@ -235,22 +201,7 @@
 		Current:  n.distributor.Current,
 		Services: n.distributor.Services,
 		Status:   n.status,
+		History:  n.distributor.History,
 	}
 	return a.Handler()
 }
-
-func (n *Runner) status() administrator.Status {
-	status := administrator.Status{
-		Node:    n.announcer.Self,
-		Version: n.Version,
-		Members: n.announcer.Members(),
-	}
-	for _, c := range n.distributor.Services() {
-		status.Documents = append(status.Documents, administrator.DocumentStatus{
-			Service:   c.Service,
-			Version:   c.Version,
-			Withdrawn: c.Withdrawn,
-		})
-	}
-	return status
-}
