--- a/test/launcher/set.go
+++ b/test/launcher/set.go
@@ -251,10 +251,22 @@
 		Version uint64 `json:"version"`
 	} `json:"documents"`
 	Members []struct {
-		ID string `json:"id"`
+		ID    string `json:"id"`
+		State string `json:"state"`
 	} `json:"members"`
 }
 
+// present counts the members that have neither failed nor left.
+func (st status) present() int {
+	n := 0
+	for _, m := range st.Members {
+		if m.State == "alive" || m.State == "suspect" {
+			n++
+		}
+	}
+	return n
+}
+
 func readStatus(n *Node) (status, error) {
 	var st status
 	resp, err := http.Get("http://" + n.Admin.String() + "/v1/status")
@@ -265,11 +277,11 @@
 	return st, json.NewDecoder(resp.Body).Decode(&st)
 }
 
-// WaitForMembers waits until a node lists a number of members.
+// WaitForMembers waits until a node lists a number of members that are alive or suspected.
 func (s *Set) WaitForMembers(n *Node, count int) error {
 	return WaitFor(readyTimeout, fmt.Sprintf("%s lists %d members", n.Name, count), func() bool {
 		st, err := readStatus(n)
-		return err == nil && len(st.Members) == count
+		return err == nil && st.present() == count
 	})
 }
 
