Add the adaptive concurrency limit

Cause: an endpoint whose capacity falls keeps the document's number of requests in flight, and each of them gets slower.

Rule: service times are compared with a baseline per route in logarithms. A rise by two over four windows without more throughput halves the limit at most; a series of decreases goes on only while throughput over service time holds.

Ruled out: lowering by the rise alone.

The judgement of a decrease is noisy at 300 completions a second; a misjudgement equals having no limiter for 10 s.

--- /dev/null
+++ b/internal/limiter/limiter_test.go
@@ -0,0 +1,202 @@
+package limiter_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianlever/gentianlever/internal/admitter"
+	"github.com/gentianlever/gentianlever/internal/limiter"
+)
+
+const slots = 12
+
+// load is an open-loop load on one endpoint behind an admitter.
+type load struct {
+	limiter  limiter.Limiter
+	admitter admitter.Admitter
+	random   *rand.Rand
+	mu       sync.Mutex
+	// service returns the service time of a request that starts beside others.
+	service func(inFlight int) time.Duration
+	sample  limiter.Sample
+}
+
+// drive offers requests for a time and returns the mean limit and the completions.
+func (l *load) drive(t *testing.T, rate float64, duration time.Duration) (mean float64, completed int) {
+	offered := 0
+	var group sync.WaitGroup
+	end := time.Now().Add(duration)
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(l.random.ExpFloat64() / rate * float64(time.Second)))
+		size := l.random.ExpFloat64()
+		sample := l.sample
+		mean += float64(min(l.limiter.Limit(), slots))
+		offered++
+		group.Go(func() {
+			now := time.Now()
+			ticket, err := l.admitter.Admit(t.Context(), admitter.Request{
+				Arrival:   now,
+				Deadline:  now.Add(200 * time.Millisecond),
+				LeastLoad: -1,
+			})
+			if err != nil {
+				return
+			}
+			sample.Service = time.Duration(size * float64(l.service(l.admitter.Load().InFlight)))
+			time.Sleep(sample.Service)
+			ticket.Done(sample.Service, true)
+			l.limiter.Observe(sample)
+			l.mu.Lock()
+			completed++
+			l.mu.Unlock()
+		})
+	}
+	group.Wait()
+	return mean / float64(offered), completed
+}
+
+func start(seed uint64) *load {
+	l := &load{
+		limiter: limiter.Limiter{
+			Slots: slots,
+			Floor: 3,
+		},
+		random:  rand.New(rand.NewPCG(seed, 0)),
+		service: constant(10 * time.Millisecond),
+	}
+	l.admitter = admitter.Admitter{
+		Slots:       slots,
+		LongSlots:   3,
+		QueueLength: 200,
+		Limit:       l.limiter.Limit,
+	}
+	return l
+}
+
+func constant(d time.Duration) func(int) time.Duration {
+	return func(int) time.Duration { return d }
+}
+
+// shared is an endpoint whose requests share the capacity of a number of slots.
+func shared(capacity int) func(int) time.Duration {
+	return func(inFlight int) time.Duration {
+		return 10 * time.Millisecond * time.Duration(max(inFlight, capacity)) / time.Duration(capacity)
+	}
+}
+
+// Guards against a limit that stays up when the endpoint's capacity falls to a quarter,
+// and against one that is slow to recover. The fall is judged by the median, because
+// a decrease is judged by few completions and is taken back without need at times.
+func TestCapacityFalls(t *testing.T) {
+	var lows []float64
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			l := start(seed)
+			l.service = shared(slots)
+			steady, _ := l.drive(t, 840, 10*time.Second)
+			l.service = shared(slots / 4)
+			l.drive(t, 840, time.Second)
+			low, completed := l.drive(t, 840, 5*time.Second)
+			l.service = shared(slots)
+			l.drive(t, 840, 500*time.Millisecond)
+			recovered := min(l.limiter.Limit(), slots)
+			t.Logf("seed %d: mean limit steady %.1f, from 1 to 6 s after the fall %.1f, 0.5 s after recovery %d; completed %d of 1500 that capacity allows",
+				seed, steady, low, recovered, completed)
+			is.New(t).True(steady >= slots*0.95)
+			lows = append(lows, low)
+			is.New(t).Equal(recovered, slots)
+		})
+	}
+	slices.Sort(lows)
+	is.New(t).True(lows[len(lows)/2] <= slots*0.75)
+}
+
+// Guards against a limit that falls without need.
+func TestSteady(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(l *load) (rate float64)
+	}{
+		{
+			name: "more demand",
+			change: func(*load) float64 {
+				return 2400
+			},
+		},
+		{
+			name: "long requests",
+			change: func(l *load) float64 {
+				l.sample.Long = true
+				l.service = constant(time.Second)
+				return 12
+			},
+		},
+		{
+			name: "mix of routes",
+			change: func(l *load) float64 {
+				l.sample.Route = "slow"
+				l.service = constant(40 * time.Millisecond)
+				return 210
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				synctest.Test(t, func(t *testing.T) {
+					l := start(seed)
+					l.drive(t, 840, 5*time.Second)
+					mean, _ := l.drive(t, c.change(l), 5*time.Second)
+					t.Logf("seed %d: mean limit %.1f", seed, mean)
+					is.New(t).True(mean >= slots*0.95)
+				})
+			}
+		})
+	}
+}
+
+// Guards against a limit that costs throughput when the endpoint waits for a slow
+// dependency.
+func TestSlowDependency(t *testing.T) {
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			l := start(seed)
+			l.drive(t, 840, 5*time.Second)
+			l.service = constant(40 * time.Millisecond)
+			_, completed := l.drive(t, 840, 10*time.Second)
+			t.Logf("seed %d: completed %d of 3000", seed, completed)
+			is.New(t).True(completed >= 3000*85/100)
+		})
+	}
+}
+
+// Guards against unbounded memory and against a limit outside of the document's bounds.
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	var none limiter.Limiter
+	none.Observe(limiter.Sample{Service: time.Second})
+	is.True(none.Limit() > 1000000)
+	synctest.Test(t, func(*testing.T) {
+		l := limiter.Limiter{
+			Slots: slots,
+			Floor: 3,
+		}
+		for i := range 3000 {
+			time.Sleep(time.Millisecond)
+			l.Observe(limiter.Sample{
+				Route:   fmt.Sprint(max(i-1000, 0)),
+				Service: time.Millisecond * time.Duration(1+i/100),
+			})
+		}
+		is.True(l.Limit() >= 3)
+		l.Resize(2, 1)
+		is.True(l.Limit() == 1 || l.Limit() > slots)
+	})
+}
