--- /dev/null
+++ b/internal/prober/prober_test.go
@@ -0,0 +1,124 @@
+package prober_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianlever/gentianlever/internal/prober"
+)
+
+// endpoint counts the probes of one prober.
+type endpoint struct {
+	prober prober.Prober
+	busy   atomic.Bool
+	failed atomic.Bool
+	probes atomic.Int64
+	seen   int64
+}
+
+// run starts a prober with a budget of 0.005, one probe of 6 ms each 1.2 s.
+func run(t *testing.T, test func(e *endpoint)) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &endpoint{}
+		e.prober = prober.Prober{
+			Budget: 0.005,
+			Busy:   func() bool { return e.busy.Load() },
+			Probe: func(context.Context) error {
+				e.probes.Add(1)
+				if e.failed.Load() {
+					return errors.New("refused")
+				}
+				return nil
+			},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = e.prober.Run(ctx) }()
+		synctest.Wait()
+		test(e)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// pass lets time go by and returns the number of probes since the last call.
+func (e *endpoint) pass(d time.Duration) int {
+	time.Sleep(d)
+	synctest.Wait()
+	n := e.probes.Load() - e.seen
+	e.seen += n
+	return int(n)
+}
+
+// Guards against probes that cost an idle endpoint more than the budget, or far less,
+// and against probes that go on without need under traffic or a long request.
+func TestNeed(t *testing.T) {
+	run(t, func(e *endpoint) {
+		is := is.New(t)
+		is.Equal(e.pass(4700*time.Millisecond), 0)
+		n := e.pass(10 * time.Minute)
+		is.True(n >= 450 && n <= 500)
+		for range 100 {
+			e.prober.Evidence()
+			is.Equal(e.pass(900*time.Millisecond), 0)
+		}
+		e.busy.Store(true)
+		is.Equal(e.pass(time.Hour), 0)
+		e.busy.Store(false)
+		is.Equal(e.pass(time.Second), 1)
+	})
+}
+
+// Guards against a slow check after a break, against an endless burst of probes, and
+// against a burst that goes on after the endpoint is known to be healthy.
+func TestBurstAfterBreak(t *testing.T) {
+	run(t, func(e *endpoint) {
+		is := is.New(t)
+		e.pass(10 * time.Second)
+		e.prober.Evidence()
+		e.failed.Store(true)
+		e.prober.Broke()
+		is.Equal(e.pass(0), 1)
+		is.Equal(e.pass(500*time.Millisecond), 2)
+		e.prober.Broke()
+		is.True(e.pass(2*time.Second) <= 2)
+		e.prober.Evidence()
+		e.pass(10 * time.Second)
+		e.failed.Store(false)
+		e.prober.Evidence()
+		e.prober.Broke()
+		is.Equal(e.pass(time.Second), 1)
+	})
+}
+
+// Guards against any course of traffic and breaks that makes the probes cost more than
+// the budget since the start.
+func TestBudget(t *testing.T) {
+	for seed := range uint64(20) {
+		run(t, func(e *endpoint) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			started := time.Now()
+			e.failed.Store(true)
+			for range 2000 {
+				switch random.IntN(3) {
+				case 0:
+					e.prober.Broke()
+				case 1:
+					e.prober.Evidence()
+				default:
+					e.busy.Store(random.IntN(2) == 0)
+				}
+				e.pass(time.Duration(random.Int64N(int64(time.Second))))
+				_, cost := e.prober.Spent()
+				is.New(t).True(cost <= time.Since(started)/200)
+			}
+			is.New(t).True(e.probes.Load() > 0)
+		})
+	}
+}
