Measure what two nodes add to a call

Cause: the target of 0.39 ms at p99 had no measurement with real processes. make pathcost alternates direct calls and calls through two nodes on each connection and reads the nodes' processor time from /proc/PID/stat.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 TOOL := go tool -modfile=tools/tools.mod
 GENERATE := go tool -modfile=tools/generate.mod
 
-.PHONY: build run test race smoke check measure generate
+.PHONY: build run test race smoke check measure pathcost generate
 
 build:
 	go build -o bin/gentianlever ./cmd/gentianlever
@@ -24,3 +24,7 @@
 # The race detector on the packages that share state between goroutines.
 race:
 	go test -race ./internal/...
+
+# Latency and processor time that two nodes add to a call. Run it alone.
+pathcost:
+	go run ./test/pathcost
--- a/test/launcher/process.go
+++ b/test/launcher/process.go
@@ -38,8 +38,9 @@
 // Unwrap returns the cause.
 func (e *ExitError) Unwrap() error { return e.Cause }
 
-// start runs a program whose output goes to a file in dir.
-func start(dir, name, program string, args ...string) (*Process, error) {
+// start runs a program whose output goes to a file in dir. environment is added to
+// that of the launcher.
+func start(dir, name, program string, environment []string, args ...string) (*Process, error) {
 	p := &Process{
 		Name:    name,
 		LogFile: filepath.Join(dir, name+".log"),
@@ -50,6 +51,7 @@
 		return nil, err
 	}
 	p.command = exec.Command(program, args...)
+	p.command.Env = append(os.Environ(), environment...)
 	p.command.Stdout = log
 	p.command.Stderr = log
 	// Keeps an interrupt at the terminal from reaching the children before the
--- a/test/launcher/set.go
+++ b/test/launcher/set.go
@@ -60,6 +60,8 @@
 	TableAddress netip.AddrPort
 	// EndpointArguments are further arguments of the endpoint stand-ins.
 	EndpointArguments []string
+	// NodeEnvironment is added to the nodes' environment, as "GOMAXPROCS=2".
+	NodeEnvironment []string
 	// LogLevel is the nodes' log level; empty means the default.
 	LogLevel string
 
@@ -95,7 +97,7 @@
 		}
 		s.Platform = address
 	}
-	p, err := start(s.Dir, "platform", s.program("platform"), "--listen", s.Platform.String())
+	p, err := start(s.Dir, "platform", s.program("platform"), nil, "--listen", s.Platform.String())
 	if err != nil {
 		return err
 	}
@@ -207,14 +209,14 @@
 // StartEndpoint starts the endpoint of a node.
 func (s *Set) StartEndpoint(n *Node) error {
 	args := append([]string{"--listen", n.Endpoint.String(), "--name", n.Name}, s.EndpointArguments...)
-	p, err := start(s.Dir, n.Name+"-endpoint", s.program("endpoint"), args...)
+	p, err := start(s.Dir, n.Name+"-endpoint", s.program("endpoint"), nil, args...)
 	n.EndpointProcess = p
 	return err
 }
 
 // StartNode starts a node, again after it has ended, and waits until it answers.
 func (s *Set) StartNode(n *Node) error {
-	p, err := start(s.Dir, n.Name, s.program("gentianlever"), "node", "--settings", n.settings)
+	p, err := start(s.Dir, n.Name, s.program("gentianlever"), s.NodeEnvironment, "node", "--settings", n.settings)
 	if err != nil {
 		return err
 	}
--- a/test/standins/endpoint/main.go
+++ b/test/standins/endpoint/main.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -23,6 +24,7 @@
 	Listen  string        `arg:"--listen" default:"127.0.0.1:8200" help:"address"`
 	Name    string        `arg:"--name" default:"endpoint" help:"name in the answers"`
 	Service time.Duration `arg:"--service-time" default:"2ms" help:"time that a request takes"`
+	Padding int           `arg:"--padding" help:"bytes added to each answer"`
 }
 
 // answer describes a request as the endpoint saw it.
@@ -34,10 +36,12 @@
 	Key      string `json:"idempotency-key,omitempty"`
 	Bytes    int64  `json:"bytes"`
 	Run      int64  `json:"run"`
+	Padding  string `json:"padding,omitempty"`
 }
 
 type endpoint struct {
 	args     arguments
+	padding  string
 	runs     atomic.Int64
 	inFlight atomic.Int64
 	peak     atomic.Int64
@@ -46,7 +50,10 @@
 func main() {
 	var args arguments
 	arg.MustParse(&args)
-	e := &endpoint{args: args}
+	e := &endpoint{
+		args:    args,
+		padding: strings.Repeat("x", args.Padding),
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/stats", e.stats)
@@ -81,10 +88,12 @@
 	if err != nil {
 		return
 	}
-	select {
-	case <-time.After(e.serviceTime(r)):
-	case <-r.Context().Done():
-		return
+	if service := e.serviceTime(r); service > 0 {
+		select {
+		case <-time.After(service):
+		case <-r.Context().Done():
+			return
+		}
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(answer{
@@ -95,6 +104,7 @@
 		Key:      r.Header.Get("Idempotency-Key"),
 		Bytes:    size,
 		Run:      run,
+		Padding:  e.padding,
 	})
 }
 
