--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 TOOL := go tool -modfile=tools/tools.mod
 GENERATE := go tool -modfile=tools/generate.mod
 
-.PHONY: build run test race smoke check measure generate
+.PHONY: build run test race smoke check measure pathcost generate
 
 build:
 	go build -o bin/gentianlever ./cmd/gentianlever
@@ -29,3 +29,6 @@
 generate:
 	go test ./internal/documenter -run TestReferencePage -update
 	$(GENERATE) buf generate
+# Latency and processor time that two nodes add to a call. Run it alone.
+pathcost:
+	go run ./test/pathcost
