Tell restarts from raised membership incarnations in the picker

Cause: the picker dropped every report whose incarnation was lower than the membership's. When a node refutes a suspicion, the announcer raises its incarnation without a restart, while the load reports keep the one of the run. From then on the picker would have been blind to that endpoint's load, and would have missed that it drains. Found by reading; the announcer does not refute suspicions yet.

The picker now keeps the highest incarnation of the reports apart. A report of a later run than both starts the endpoint afresh; one of an earlier run than other reports is ignored.

TestRunsInReports guards both cases.

Conclusion: a raised membership incarnation costs a slow start and the counts of outstanding requests, but no reports.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -147,9 +147,8 @@
 			if !first {
 				s.rampFrom = now
 			}
-		} else if s.endpoint.Incarnation > e.Incarnation {
-			// A report was faster than the membership.
-			e.Incarnation = s.endpoint.Incarnation
+		} else if s.run > e.Incarnation {
+			// A report was faster than the membership, which speaks of an earlier run.
 			e.Draining = false
 		}
 		s.endpoint = e
@@ -171,10 +170,10 @@
 	return distances
 }
 
-// find returns the state of an endpoint's incarnation or of a higher one.
+// find returns the state of an endpoint's incarnation or of a later one.
 func (g *group) find(e Endpoint) *state {
 	for _, s := range g.states {
-		if s.endpoint.ID == e.ID && s.endpoint.Incarnation >= e.Incarnation {
+		if s.endpoint.ID == e.ID && s.newest() >= e.Incarnation {
 			return s
 		}
 	}
@@ -305,32 +304,25 @@
 	a.picker.judge(a, o, now)
 }
 
-// current returns the state that a report of an incarnation belongs to, and nil for
-// a late report of an earlier incarnation. Zero means that the sender gave none.
+// current returns the state that a report of a run belongs to, and nil for a late
+// report of an earlier run. Zero means that the sender gave no incarnation.
 func (g *group) current(s *state, incarnation uint64, now time.Time) *state {
-	switch {
-	case incarnation == 0 || incarnation == s.endpoint.Incarnation:
-		return s
-	case incarnation < s.endpoint.Incarnation:
-		return nil
+	if incarnation <= s.newest() {
+		return s.seen(incarnation)
 	}
-	for i := range g.states {
-		known := g.states[i]
-		if known.endpoint.ID != s.endpoint.ID {
+	for i, known := range g.states {
+		switch {
+		case known.endpoint.ID != s.endpoint.ID:
 			continue
-		}
-		if known.endpoint.Incarnation == incarnation {
-			return known
-		}
-		if known.endpoint.Incarnation > incarnation {
-			return nil
+		case incarnation <= known.newest():
+			return known.seen(incarnation)
 		}
 		fresh := &state{
 			endpoint: known.endpoint,
 			distance: known.distance,
+			run:      incarnation,
 			health:   health{rampFrom: now},
 		}
-		fresh.endpoint.Incarnation = incarnation
 		fresh.endpoint.Draining = false
 		g.states[i] = fresh
 		return fresh
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -133,6 +133,37 @@
 	})
 }
 
+// Guards against reports that are ignored because the membership's incarnation rose
+// without a restart, and against a restart that only a report has told of so far.
+func TestRunsInReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		report := func(p *picker.Picker, incarnation uint64, draining bool) {
+			a, err := p.Pick(excluding("1"))
+			is.NoErr(err)
+			a.Report(reporter.Load{
+				Slots:       12,
+				Incarnation: incarnation,
+				Draining:    draining,
+			})
+			a.Done(picker.Succeeded)
+		}
+		p := &picker.Picker{}
+		p.SetEndpoints("proofs", endpoints(2, 5))
+		report(p, 5, false)
+		p.SetEndpoints("proofs", endpoints(2, 6))
+		report(p, 5, true)
+		_, err := p.Pick(excluding("1"))
+		is.True(err != nil)
+		p.SetEndpoints("proofs", endpoints(2, 9))
+		report(p, 12, false)
+		old := endpoints(2, 9)
+		old[0].Draining = true
+		p.SetEndpoints("proofs", old)
+		report(p, 12, false)
+	})
+}
+
 // Guards against an endpoint that looks slow because it runs an upload.
 func TestLongRequestsAreNotSlow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/picker/score.go
+++ b/internal/picker/score.go
@@ -37,6 +37,9 @@
 type state struct {
 	endpoint Endpoint
 	distance time.Duration
+	// run is the highest incarnation in a report. It stays the same for a run of the
+	// node, while the membership's incarnation also rises when a suspicion is refuted.
+	run uint64
 
 	short int
 	long  int
@@ -60,6 +63,20 @@
 	health
 }
 
+// newest returns the highest incarnation known of the endpoint.
+func (s *state) newest() uint64 {
+	return max(s.run, s.endpoint.Incarnation)
+}
+
+// seen records the incarnation of a report and returns nil for one of an earlier run.
+func (s *state) seen(incarnation uint64) *state {
+	if incarnation != 0 && incarnation < s.run {
+		return nil
+	}
+	s.run = max(s.run, incarnation)
+	return s
+}
+
 func (s *state) add(a *Attempt) {
 	if a.trial {
 		s.trial = true
