Report endpoint failures and cancellations to the picker as such

Cause: with ejection in force, two outcomes on the caller side were wrong. A node whose endpoint is down answers at once with endpoint-unreachable, which was reported as Refused, so it was never ejected. A caller that goes away was reported as Failed, so three of them in a row ejected a healthy endpoint.

The outcome now follows from the refusal's reason, in one function that the exchange, the refusal and a broken answer share. Deadlines that pass at an endpoint (timeout) stay failures.

Conclusion: only the mapping changed; no retry rule did.

--- a/internal/forwarder/callerside.go
+++ b/internal/forwarder/callerside.go
@@ -51,7 +51,7 @@
 	for {
 		resp, attempt, err := s.attempt(ctx, r, c)
 		if err == nil {
-			s.answer(w, resp, attempt)
+			s.answer(ctx, w, resp, attempt)
 			return
 		}
 		if !s.retry(r, c, err) {
@@ -112,8 +112,9 @@
 	s.Counters.Add(counter.NodeTries, 1)
 	resp, err := s.Exchanger.Exchange(ctx, s.outgoing(ctx, r, c, a), a.Endpoint.Address)
 	if err != nil {
-		a.Done(picker.Failed)
-		return nil, nil, nodeFailure(ctx, err)
+		failure := nodeFailure(ctx, err)
+		a.Done(outcomeOf(failure))
+		return nil, nil, failure
 	}
 	if load, err := reporter.Parse(resp.Header.Get(headerLoad)); err == nil {
 		a.Report(load)
@@ -121,7 +122,7 @@
 	if refusal := refusalOf(resp); refusal != nil {
 		_, _ = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
-		a.Done(picker.Refused)
+		a.Done(outcomeOf(refusal))
 		return nil, nil, refusal
 	}
 	return resp, a, nil
@@ -158,6 +159,19 @@
 	}
 }
 
+// outcomeOf returns what a refusal says of the endpoint. A node that refuses because
+// its endpoint fails must count as failing, or it would attract traffic with fast
+// refusals; a caller that goes away must not get a healthy endpoint ejected.
+func outcomeOf(err error) picker.Outcome {
+	switch asRefusal(err).Reason {
+	case refuser.EndpointUnreachable, refuser.EndpointFailed, refuser.NodeUnreachable, refuser.NodeFailed, refuser.Timeout:
+		return picker.Failed
+	case refuser.Cancelled:
+		return picker.Cancelled
+	}
+	return picker.Refused
+}
+
 // retry reports whether another endpoint may be tried. A body that was read in
 // part can't be sent again.
 func (s *CallerSide) retry(r *http.Request, c *call, err error) bool {
@@ -173,7 +187,7 @@
 }
 
 // answer copies an endpoint's answer to the caller.
-func (s *CallerSide) answer(w http.ResponseWriter, resp *http.Response, a *picker.Attempt) {
+func (s *CallerSide) answer(ctx context.Context, w http.ResponseWriter, resp *http.Response, a *picker.Attempt) {
 	defer func() { _ = resp.Body.Close() }()
 	removeHopHeaders(resp.Header)
 	resp.Header.Del(headerLoad)
@@ -183,7 +197,7 @@
 	w.WriteHeader(resp.StatusCode)
 	if _, err := io.Copy(w, resp.Body); err != nil {
 		s.Counters.Add(counter.TruncatedAnswers, 1)
-		a.Done(picker.Failed)
+		a.Done(outcomeOf(nodeFailure(ctx, err)))
 		// Ends the connection abnormally, so that the answer never seems complete.
 		panic(http.ErrAbortHandler)
 	}
