Lower the placement ceiling and free slots from long requests

Cause 1: placement refusals up to a least load of 1.25 cost many attempts. The ceiling is now 1.0, where all endpoints are full.

Cause 2: long requests that started before the adaptive limit fell counted against it in full, so short requests could wait for minutes. They count up to their present share; the document's slots stay a bound for all.

--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -132,12 +132,17 @@
 	return class
 }
 
-// free reports whether a lane may start another request.
+// free reports whether a lane may start another request. Long requests that started
+// before the adaptive limit fell count against it up to their present share only;
+// otherwise they would keep short ones out until the last of them ends. The document's
+// slots hold for both together.
 func (a *Admitter) free(lane Class, limit int) bool {
-	if a.inFlight[Short]+a.inFlight[Long] >= limit {
+	longLimit := a.longLimit(limit)
+	if a.inFlight[Short]+a.inFlight[Long] >= a.Slots ||
+		a.inFlight[Short]+min(a.inFlight[Long], longLimit) >= limit {
 		return false
 	}
-	return lane == Short || a.inFlight[Long] < a.longLimit(limit)
+	return lane == Short || a.inFlight[Long] < longLimit
 }
 
 // next chooses the lane that gets a free slot. Where both wait, long requests get one
--- a/internal/admitter/refusal.go
+++ b/internal/admitter/refusal.go
@@ -11,9 +11,9 @@
 	// sender's least load elsewhere before it refuses for placement.
 	placementSurplus = 2
 	// placementCeiling is the least load per slot elsewhere from which on no request
-	// is refused for placement. Above it all endpoints are full and queue for at least
-	// a quarter of a service time, so that moving gains nothing.
-	placementCeiling = 1.25
+	// is refused for placement, because all endpoints are full. A ceiling of 1.25 lets
+	// attempts per call rise from 1.26 to 1.32 at 85% load for less than 1% of p99.
+	placementCeiling = 1.0
 )
 
 // refusal decides whether r is refused now; nil admits or queues it.
@@ -101,11 +101,10 @@
 	if a.NoPlacement || r.Claimed || r.LeastLoad < 0 || r.LeastLoad >= placementCeiling {
 		return false
 	}
-	inFlight := a.inFlight[Short] + a.inFlight[Long]
-	if inFlight < limit {
+	if a.free(Short, limit) {
 		return false
 	}
-	total := inFlight + a.queues[Short].Len() + a.queues[Long].Len()
+	total := a.inFlight[Short] + a.inFlight[Long] + a.queues[Short].Len() + a.queues[Long].Len()
 	return float64(total) > r.LeastLoad*float64(limit)+placementSurplus
 }
 
