Keep idle times out of the limiter's baseline

Cause: a sample counted for the whole time since the last one, so the first request after an idle minute replaced 63% of the baseline, and a later loss of capacity looked normal. A sample now counts for 100 ms at most.

Found on the way: End or Broke of the quarantiner without an earlier Begin wrote to a nil map and panicked; it has no effect on the counts now.

Ruled out: bounding a window across an idle time too. Its throughput is low, so the next windows count as rising demand for some seconds and nothing is lowered; that errs towards no limit.

Before: the new test fails with the old weight (trial).

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -46,6 +46,9 @@
 	// baselineTime is the time constant with which a baseline follows the service
 	// times; a lasting change of the endpoint becomes normal within minutes.
 	baselineTime = 60 * time.Second
+	// longestStep bounds the time for which one sample counts in a baseline, so that the
+	// first request after an idle minute does not replace it.
+	longestStep = 100 * time.Millisecond
 	// throughputTime is the time constant of the long-term throughput.
 	throughputTime = 5 * time.Second
 	// holdTime is the time without decreases after one that did not help.
@@ -184,7 +187,7 @@
 	}
 	l.window.rises += level - b.level
 	l.window.rated++
-	elapsed := now.Sub(b.updated)
+	elapsed := min(now.Sub(b.updated), longestStep)
 	b.updated = now
 	b.level += weight(elapsed, baselineTime) * (level - b.level)
 }
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -177,6 +177,25 @@
 	}
 }
 
+// Guards against a baseline that the first request after an idle time replaces, so
+// that a loss of capacity looks normal.
+func TestIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := start(0)
+		serve := func(n int, service, gap time.Duration) {
+			for range n {
+				time.Sleep(gap)
+				l.limiter.Observe(limiter.Sample{Service: service})
+			}
+		}
+		serve(500, 10*time.Millisecond, time.Millisecond)
+		serve(3, time.Second, time.Minute)
+		serve(5000, 10*time.Millisecond, time.Millisecond)
+		serve(500, 40*time.Millisecond, 4*time.Millisecond)
+		is.New(t).True(l.limiter.Limit() < slots)
+	})
+}
+
 // Guards against unbounded memory and against a limit outside of the document's bounds.
 func TestBounds(t *testing.T) {
 	is := is.New(t)
@@ -200,3 +219,11 @@
 		is.True(l.Limit() == 1 || l.Limit() > slots)
 	})
 }
+
+// The cost of one completed request.
+func BenchmarkObserve(b *testing.B) {
+	l := start(0)
+	for b.Loop() {
+		l.limiter.Observe(limiter.Sample{Service: time.Millisecond})
+	}
+}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -269,10 +269,11 @@
 }
 
 func (q *Quarantiner) leave(fp Fingerprint) {
-	q.inFlight[fp]--
-	if q.inFlight[fp] <= 0 {
+	if q.inFlight[fp] <= 1 {
 		delete(q.inFlight, fp)
+		return
 	}
+	q.inFlight[fp]--
 }
 
 func (q *Quarantiner) share(suspects []Suspect) {
