Test head-of-line blocking at 85% of the slots

Cause: the test offered short requests at half of the slots only, where long requests at their full share leave much room.

At 0.65 and 0.7 both classes together use 90% and 95%.

Ruled out: a lower long limit under short load, since long requests must keep their share.

Before: the test ran at 0.5.

--- a/internal/admitter/load_test.go
+++ b/internal/admitter/load_test.go
@@ -134,15 +134,15 @@
 	}
 }
 
-// Guards against short requests that wait behind long ones offered up to their share
-// and beyond it.
+// Guards against short requests that wait behind long ones offered beyond their
+// share, where both together use 85% of the slots.
 func TestHeadOfLine(t *testing.T) {
 	for seed := range seeds {
-		alone := drive(t, server(), seed, shorts(0.5))[0]
-		mixed := drive(t, server(), seed, shorts(0.5), longs(2))[0]
+		alone := drive(t, server(), seed, shorts(0.6))[0]
+		mixed := drive(t, server(), seed, shorts(0.6), longs(2))[0]
 		a := server()
 		a.NoLanes = true
-		without := drive(t, a, seed, shorts(0.5), longs(2))[0]
+		without := drive(t, a, seed, shorts(0.6), longs(2))[0]
 		t.Logf("seed %d: short p99 alone %v, with long requests %v, without lanes %v",
 			seed, alone.p99(), mixed.p99(), without.p99())
 		is.New(t).True(mixed.p99() < without.p99())
