Count failures atomically in the claimer's outage test

The race was in the test; no report named the claimer's own fields.

Ruled out: ordering by synctest.Wait, since the read that starts the loop's next step may still run beside a worker.

--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -219,8 +220,8 @@
 		s := newCluster(2, "")
 		n := s.nodes[0]
 		n.MaxPendingBytes = 1 << 10
-		failures := 0
-		n.OnError = func(error) { failures++ }
+		var failures atomic.Int32
+		n.OnError = func(error) { failures.Add(1) }
 		cl := s.dispatch(t)
 		s.table.inject = down
 		cl.Finish(Answer{Body: []byte("done")})
@@ -230,14 +231,14 @@
 		var late *FlushError
 		is.True(errors.As(n.Flush(ctx), &late))
 		is.Equal(late.Pending, 1)
-		is.True(failures > 100 && failures < 220)
+		is.True(failures.Load() > 100 && failures.Load() < 220)
 		other := request()
 		other.Key = "other"
 		_, _, err := n.Claim(context.Background(), other)
 		var refusal *refuser.Refusal
 		is.True(errors.As(err, &refusal))
 		is.Equal(refusal.Reason, refuser.ClaimUnavailable)
-		for before := failures; failures == before; {
+		for before := failures.Load(); failures.Load() == before; {
 			settle(10 * time.Millisecond)
 		}
 		s.table.inject = nil
