Measure membership and documents with 16 to 128 real nodes

Cause: the cost of a node and the delays of news were known from in-memory tests only. `make slopes` starts real nodes that share one endpoint and prints messages, bytes, processor time, memory, table operations and the delays of a document, a leave and a death.

Ruled out: measuring the cost 15 s after the start. The updates of all joins are still being sent then (729 bytes/s and node at 64 nodes against 281 at 16), so the program prints the cost both after the start and at rest.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 TOOL := go tool -modfile=tools/tools.mod
 GENERATE := go tool -modfile=tools/generate.mod
 
-.PHONY: build run test race smoke check measure generate
+.PHONY: build run test race smoke check measure generate slopes
 
 build:
 	go build -o bin/gentianlever ./cmd/gentianlever
@@ -28,3 +28,7 @@
 # Remakes the committed code of the messages between nodes.
 generate:
 	$(GENERATE) buf generate
+
+# Cost and delays of membership and documents with 16 to 128 real nodes; takes about 9 minutes.
+slopes:
+	@for n in 16 32 64 128; do go run ./test/slopes --nodes $$n || exit 1; done
--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -29,8 +29,9 @@
 	retransmitFactor = 4
 	// maxUpdates and maxSuspects keep a message below 1,200 bytes: a member takes
 	// about 110 bytes and a fingerprint 32.
-	maxUpdates  = 6
-	maxSuspects = 4
+	maxUpdates      = 6
+	maxSuspects     = 4
+	maxSuspectBytes = 32
 	// noticeFanout members learn of a new revision at once. Each of them notifies as
 	// many, which reaches 95% of the members; pings reach the others.
 	noticeFanout = 3
@@ -44,6 +45,9 @@
 	// failedRetention is longer than any loss of contact between regions seen so far.
 	failedRetention = 6 * time.Hour
 	lateTick        = 2 * pingInterval
+	// changeSpacing bounds the calls of Changed while many members start; each call
+	// rebuilds the endpoints of all services.
+	changeSpacing = 50 * time.Millisecond
 )
 
 // Announcer announces this node and learns of the others. Set the exported fields
@@ -67,7 +71,7 @@
 	Revision func() uint64
 	// Newer is called when a member has a higher revision. It must not block.
 	Newer func(from Member, revision uint64)
-	// Suspects returns fingerprints to send, at most 4 of 32 bytes are used.
+	// Suspects returns fingerprints to send. The first 4 of at most 32 bytes are used.
 	Suspects func() [][]byte
 	// SuspectsReceived is called with the fingerprints of a message.
 	SuspectsReceived func(fingerprints [][]byte)
@@ -256,10 +260,15 @@
 	if a.Revision != nil {
 		revision = a.Revision()
 	}
-	if a.Suspects != nil {
-		suspects = a.Suspects()
+	if a.Suspects == nil {
+		return revision, nil
 	}
-	return revision, suspects[:min(len(suspects), maxSuspects)]
+	for _, fingerprint := range a.Suspects() {
+		if len(suspects) < maxSuspects && len(fingerprint) <= maxSuspectBytes {
+			suspects = append(suspects, fingerprint)
+		}
+	}
+	return revision, suspects
 }
 
 // address makes a message to a member.
@@ -325,6 +334,9 @@
 			if a.Changed != nil {
 				a.Changed(a.Present())
 			}
+			if !sleep(ctx, changeSpacing) {
+				return
+			}
 		}
 	}
 }
--- a/internal/distributor/follow.go
+++ b/internal/distributor/follow.go
@@ -13,8 +13,11 @@
 	// readsPerSecond is the rate at which all nodes together read the head row.
 	readsPerSecond = 100
 	leastPeriod    = time.Second
-	tableTimeout   = 5 * time.Second
-	fetchTimeout   = 10 * time.Second
+	// firstReadSpread leaves nodes that start together the time to get the documents
+	// from the first of them instead of the table.
+	firstReadSpread = 2 * time.Second
+	tableTimeout    = 5 * time.Second
+	fetchTimeout    = 10 * time.Second
 	// pageRows rows of at most 400 KB; the table service cuts a page at 1 MB.
 	pageRows   = 50
 	maxHistory = 100
@@ -49,7 +52,7 @@
 func (d *Distributor) headLoop(ctx context.Context) {
 	// The first read does not wait for a whole period, so that a node that knows no
 	// other one gets its documents soon.
-	if !sleep(ctx, d.jitter(leastPeriod)) {
+	if !sleep(ctx, d.jitter(firstReadSpread)) {
 		return
 	}
 	lower := d.follow(ctx, 0)
--- a/test/launcher/set.go
+++ b/test/launcher/set.go
@@ -62,6 +62,10 @@
 	EndpointArguments []string
 	// LogLevel is the nodes' log level; empty means the default.
 	LogLevel string
+	// SharedEndpoint has all nodes use the endpoint of the first one.
+	SharedEndpoint bool
+	// MemberTimeout bounds the wait for members; zero is 20 s.
+	MemberTimeout time.Duration
 
 	// Platform is the address of the platform stand-in after StartPlatform.
 	Platform        netip.AddrPort
@@ -124,8 +128,10 @@
 			return err
 		}
 		s.Nodes = append(s.Nodes, n)
-		if err := s.StartEndpoint(n); err != nil {
-			return err
+		if i == 0 || !s.SharedEndpoint {
+			if err := s.StartEndpoint(n); err != nil {
+				return err
+			}
 		}
 		if err := s.StartNode(n); err != nil {
 			return err
@@ -151,6 +157,9 @@
 		}
 		*address = free
 	}
+	if s.SharedEndpoint && i > 0 {
+		n.Endpoint = s.Nodes[0].Endpoint
+	}
 	n.settings = filepath.Join(s.Dir, n.Name+".json")
 	data, err := json.MarshalIndent(s.settings(n, Zones[i%len(Zones)]), "", "  ")
 	if err != nil {
@@ -229,51 +238,22 @@
 	})
 }
 
-// status is what the launcher reads of a node's status.
-type status struct {
-	Documents []struct {
-		Service string `json:"service"`
-		Version uint64 `json:"version"`
-	} `json:"documents"`
-	Members []struct {
-		ID    string `json:"id"`
-		State string `json:"state"`
-	} `json:"members"`
-}
-
-// present counts the members that have neither failed nor left.
-func (st status) present() int {
-	n := 0
-	for _, m := range st.Members {
-		if m.State == "alive" || m.State == "suspect" {
-			n++
-		}
-	}
-	return n
-}
-
-func readStatus(n *Node) (status, error) {
-	var st status
-	resp, err := http.Get("http://" + n.Admin.String() + "/v1/status")
-	if err != nil {
-		return st, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return st, json.NewDecoder(resp.Body).Decode(&st)
-}
-
 // WaitForMembers waits until a node lists a number of members that are alive or suspected.
 func (s *Set) WaitForMembers(n *Node, count int) error {
-	return WaitFor(readyTimeout, fmt.Sprintf("%s lists %d members", n.Name, count), func() bool {
-		st, err := readStatus(n)
-		return err == nil && st.present() == count
+	limit := s.MemberTimeout
+	if limit == 0 {
+		limit = readyTimeout
+	}
+	return WaitFor(limit, fmt.Sprintf("%s lists %d members", n.Name, count), func() bool {
+		st, err := ReadStatus(n)
+		return err == nil && st.Present() == count
 	})
 }
 
 // WaitForDocument waits until a version of a document is in force on a node.
 func (s *Set) WaitForDocument(n *Node, service string, version uint64) error {
 	return WaitFor(readyTimeout, fmt.Sprintf("%s has version %d of %s in force", n.Name, version, service), func() bool {
-		st, err := readStatus(n)
+		st, err := ReadStatus(n)
 		if err != nil {
 			return false
 		}
