--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 TOOL := go tool -modfile=tools/tools.mod
 GENERATE := go tool -modfile=tools/generate.mod
 
-.PHONY: build run test race smoke check measure pathcost generate
+.PHONY: build run test race smoke check measure pathcost slopes generate
 
 build:
 	go build -o bin/gentianlever ./cmd/gentianlever
@@ -29,6 +29,11 @@
 generate:
 	go test ./internal/documenter -run TestReferencePage -update
 	$(GENERATE) buf generate
+
 # Latency and processor time that two nodes add to a call. Run it alone.
 pathcost:
 	go run ./test/pathcost
+
+# Cost and delays of membership and documents with 16 to 128 real nodes; takes about 9 minutes.
+slopes:
+	@for n in 16 32 64 128; do go run ./test/slopes --nodes $$n || exit 1; done
