Strip response headers in place and lock the outcome of attempts

Cause: each response's header map was copied once more at both sides, and the flag "may have run" was read without its lock, which a hedging function could race with.

Ruled out as causes of the remaining time, from a CPU profile of BenchmarkTwoNodes: no single function of this repository stands out; 24% is system calls, 16% the scheduler, 14% allocation, mostly in net/http.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -130,7 +130,8 @@
 func (s *CallerSide) respond(w http.ResponseWriter, r *http.Request, c *call, resp *Response) {
 	defer resp.close()
 	h := w.Header()
-	for name, values := range forwarded(resp.Header) {
+	strip(resp.Header)
+	for name, values := range resp.Header {
 		h[name] = values
 	}
 	readErr, writeErr := relay(w, resp.prefetched, c.Deadline)
--- a/internal/forwarder/callerside.go
+++ b/internal/forwarder/callerside.go
@@ -90,7 +90,10 @@
 	resp, err := s.run(ctx, r, c)
 	if err != nil {
 		refusal := *asRefusal(err)
-		if c.unknown {
+		c.mu.Lock()
+		unknown := c.unknown
+		c.mu.Unlock()
+		if unknown {
 			refusal.Ran = refuser.RanUnknown
 		}
 		c.body.finish()
--- a/internal/forwarder/endpointside.go
+++ b/internal/forwarder/endpointside.go
@@ -216,7 +216,7 @@
 	}
 	h.status = resp.StatusCode
 	h.broke = func() { s.broke(ctx, c) }
-	resp.Header = forwarded(resp.Header)
+	strip(resp.Header)
 	if resp.Body == http.NoBody {
 		h.end(true)
 	} else {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -427,12 +427,17 @@
 		h := http.Header{}
 		h.Set(name, value)
 		h.Set("Connection", other)
-		for got := range forwarded(h) {
+		sent := forwarded(h)
+		strip(h)
+		if len(sent) != len(h) {
+			t.Errorf("forwarded %v, stripped %v", sent, h)
+		}
+		for got := range sent {
 			if strings.HasPrefix(got, ownPrefix) || got == http.CanonicalHeaderKey(strings.TrimSpace(other)) || got == "Connection" {
 				t.Errorf("%q was forwarded", got)
 			}
 		}
-		_ = refusalOf(&http.Response{Header: h})
-		_, _ = microseconds(h, name)
+		_ = refusalOf(&http.Response{Header: http.Header{http.CanonicalHeaderKey(name): {value}}})
+		_, _ = microseconds(http.Header{name: {value}}, name)
 	})
 }
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -62,22 +62,42 @@
 // connection, which includes the ones that Connection names, nor the system's own
 // except for those in keep. The value slices are shared with h.
 func forwarded(h http.Header, keep ...string) http.Header {
+	named := connectionNames(h)
+	out := make(http.Header, len(h)+8)
+	for name, values := range h {
+		if !ofOneHop(name, named, keep) {
+			out[name] = values
+		}
+	}
+	return out
+}
+
+// strip removes from h what forwarded leaves out.
+func strip(h http.Header) {
+	named := connectionNames(h)
+	for name := range h {
+		if ofOneHop(name, named, nil) {
+			delete(h, name)
+		}
+	}
+}
+
+// connectionNames returns the header names that Connection lists.
+func connectionNames(h http.Header) []string {
 	var named []string
 	for _, value := range h["Connection"] {
 		for name := range strings.SplitSeq(value, ",") {
 			named = append(named, http.CanonicalHeaderKey(strings.TrimSpace(name)))
 		}
 	}
-	out := make(http.Header, len(h)+8)
-	for name, values := range h {
-		switch {
-		case slices.Contains(hopHeaders, name) || slices.Contains(named, name):
-		case strings.HasPrefix(name, ownPrefix) && !slices.Contains(keep, name):
-		default:
-			out[name] = values
-		}
+	return named
+}
+
+func ofOneHop(name string, named, keep []string) bool {
+	if strings.HasPrefix(name, ownPrefix) && !slices.Contains(keep, name) {
+		return true
 	}
-	return out
+	return slices.Contains(hopHeaders, name) || slices.Contains(named, name)
 }
 
 // outgoing makes the request for the next hop. The header is that of forwarded.
@@ -118,7 +138,7 @@
 }
 
 func setMicroseconds(h http.Header, name string, d time.Duration) {
-	h.Set(name, strconv.FormatInt(d.Microseconds(), 10))
+	h[name] = []string{strconv.FormatInt(d.Microseconds(), 10)}
 }
 
 // writeRefusal answers a request with a refusal. Errors of another type become
