Revoke a given-up attempt's reader before a retry

Cause: after "100 Continue" and an immediate break of the connection, the goroutine that sends the body could begin to read it just after the caller side had found it unread and started another attempt. With a chunked body the second attempt would then have sent the remainder as if it were the whole.

Reading and giving up now exclude each other by one state per attempt. TestRevokedReader shows the exclusion without a race.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/gentianlever/gentianlever/internal/picker"
 	"github.com/gentianlever/gentianlever/internal/refuser"
 )
 
@@ -320,6 +321,55 @@
 	is.Equal(read.Load(), int64(0))
 }
 
+// Guards against a body whose beginning a failed attempt took, so that the next attempt
+// sends the remainder as if it were the whole.
+func TestUploadAfterBrokenContinue(t *testing.T) {
+	is := is.New(t)
+	const size = 300 << 10
+	broken := rawEndpoint(t, func(c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+	})
+	s := start(t, endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, n)
+	}))
+	s.caller.Retry = func(Call, error) (bool, string) { return true, "test" }
+	known := []picker.Endpoint{
+		{ID: "good", Service: "proofs", Address: s.nodes[0].address},
+		{ID: "broken", Service: "proofs", Address: broken},
+	}
+	s.caller.Picker.SetEndpoints("proofs", known)
+	for range 100 {
+		got, err := s.do("PUT", "/upload", io.LimitReader(zeros{}, size), nil)
+		if err == nil && got.status == http.StatusOK {
+			is.Equal(got.body, fmt.Sprint(size)) // never a part
+		}
+	}
+}
+
+// Guards against the same fault where the given-up attempt reads late, which a race
+// decides between real connections.
+func TestRevokedReader(t *testing.T) {
+	is := is.New(t)
+	b := &requestBody{
+		prefix: []byte("pre"),
+		rest:   strings.NewReader("fix"),
+		length: -1,
+	}
+	first := b.open()
+	_, err := io.ReadFull(first, make([]byte, 3))
+	is.NoErr(err)
+	is.True(b.replayable())
+	second := b.open()
+	n, _ := first.Read(make([]byte, 3))
+	is.Equal(n, 0)
+	whole, err := io.ReadAll(second)
+	is.NoErr(err)
+	is.Equal(string(whole), "prefix")
+	is.True(!b.replayable())
+}
+
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) {
--- a/internal/forwarder/requestbody.go
+++ b/internal/forwarder/requestbody.go
@@ -32,8 +32,8 @@
 	rest    io.Reader
 	length  int64
 	trailer http.Header
-	// started is set when the rest was read from, so that it can't be sent again.
-	started    atomic.Bool
+	// reader is the latest attempt's reader of the rest.
+	reader     *restReader
 	ended      atomic.Bool
 	controller *http.ResponseController
 }
@@ -107,8 +107,11 @@
 // streamed reports whether the body is not wholly buffered.
 func (b *requestBody) streamed() bool { return b.rest != nil }
 
-// replayable reports whether the whole body can be sent from its start.
-func (b *requestBody) replayable() bool { return b.rest == nil || !b.started.Load() }
+// replayable reports whether the whole body can be sent from its start. The latest
+// reader can't take any of the rest after that, even where its attempt is still ending.
+func (b *requestBody) replayable() bool {
+	return b.rest == nil || b.reader == nil || b.reader.revoke()
+}
 
 // open returns a reader of the whole body.
 func (b *requestBody) open() io.ReadCloser {
@@ -118,7 +121,8 @@
 	if b.rest == nil {
 		return io.NopCloser(bytes.NewReader(b.prefix))
 	}
-	return io.NopCloser(io.MultiReader(bytes.NewReader(b.prefix), (*restReader)(b)))
+	b.reader = &restReader{body: b}
+	return io.NopCloser(io.MultiReader(bytes.NewReader(b.prefix), b.reader))
 }
 
 // finish bounds what the server still reads of a body that did not end. A read in
@@ -128,7 +132,7 @@
 		return
 	}
 	end := time.Unix(1, 0)
-	if !b.started.Load() {
+	if b.replayable() {
 		end = time.Now().Add(discardTimeout)
 	}
 	_ = b.controller.SetReadDeadline(end)
@@ -155,13 +159,34 @@
 	return bufferedBytes
 }
 
-type restReader requestBody
+// The states of a restReader.
+const (
+	unread int32 = iota
+	reading
+	revoked
+)
+
+// restReader is one attempt's reader of the rest of a body.
+type restReader struct {
+	body  *requestBody
+	state atomic.Int32
+}
+
+// errRevoked ends the reading of an attempt that has been given up.
+var errRevoked = errors.New("the attempt was given up before its body was read")
+
+// revoke keeps an unread rest from being read and reports whether it was unread.
+func (r *restReader) revoke() bool {
+	return r.state.CompareAndSwap(unread, revoked) || r.state.Load() == revoked
+}
 
 func (r *restReader) Read(p []byte) (int, error) {
-	r.started.Store(true)
-	n, err := r.rest.Read(p)
+	if !r.state.CompareAndSwap(unread, reading) && r.state.Load() == revoked {
+		return 0, errRevoked
+	}
+	n, err := r.body.rest.Read(p)
 	if err == io.EOF {
-		r.ended.Store(true)
+		r.body.ended.Store(true)
 	}
 	return n, err
 }
