--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -112,18 +112,16 @@
 	return out
 }
 
-// outcomeOf tells the picker what a refusal says of the endpoint.
+// outcomeOf tells the picker what a refusal says of the endpoint. Refusals that are
+// due to the request or its caller say nothing of it.
 func outcomeOf(refusal *refuser.Refusal) picker.Outcome {
 	switch refusal.Reason {
-	case refuser.Cancelled, refuser.SlowRequest, refuser.RequestTooLarge, refuser.DeadlineExceeded:
-		return picker.Cancelled
-	case refuser.EndpointUnreachable, refuser.NodeUnreachable:
+	case refuser.EndpointUnreachable, refuser.EndpointFailed, refuser.NodeUnreachable, refuser.NodeFailed, refuser.Timeout:
 		return picker.Failed
-	}
-	if refusal.Row().Ran == refuser.NotRun {
+	case refuser.Draining, refuser.QueueFull, refuser.DeadlineUnreachable, refuser.Placement, refuser.NoFreeSlot, refuser.EndpointShed:
 		return picker.Refused
 	}
-	return picker.Failed
+	return picker.Cancelled
 }
 
 // respond copies a response to the caller.
--- a/internal/forwarder/outcome_test.go
+++ b/internal/forwarder/outcome_test.go
@@ -10,7 +10,8 @@
 )
 
 // Guards against a node that keeps its traffic although its endpoint is down, and
-// against a healthy endpoint that is ejected because callers went away.
+// against a healthy endpoint that is ejected because of its callers: by callers that go away,
+// bodies that are too large, or keys that are still in progress.
 func TestOutcomeOfRefusal(t *testing.T) {
 	expected := map[refuser.Reason]picker.Outcome{
 		refuser.EndpointUnreachable: picker.Failed,
@@ -18,12 +19,17 @@
 		refuser.NodeUnreachable:     picker.Failed,
 		refuser.NodeFailed:          picker.Failed,
 		refuser.Timeout:             picker.Failed,
-		refuser.Cancelled:           picker.Cancelled,
+		refuser.Draining:            picker.Refused,
+		refuser.QueueFull:           picker.Refused,
+		refuser.DeadlineUnreachable: picker.Refused,
+		refuser.Placement:           picker.Refused,
+		refuser.NoFreeSlot:          picker.Refused,
+		refuser.EndpointShed:        picker.Refused,
 	}
 	for _, row := range refuser.Table {
 		outcome, ok := expected[row.Reason]
 		if !ok {
-			outcome = picker.Refused
+			outcome = picker.Cancelled
 		}
 		is.New(t).Equal(outcomeOf(&refuser.Refusal{Reason: row.Reason}), outcome)
 	}
