Place long requests by the load of the long slots

Nine concurrent uploads through two nodes queued at the endpoints that the picker prefers while long slots elsewhere stayed free. Picker and placement refusal compared the total load with all slots, so an endpoint with its 3 long slots of 12 taken looked nearly idle, and a node without a report sent no least load at all.

The load report has long-in-flight and long-slots now. Missing fields mean unknown: the long slots of another endpoint are used, otherwise a quarter of the slots, otherwise 3. A long request is scored, and its least load given, by the long requests per long slot; own ones are counted per class, and the report ages with the latency of long requests. A node whose long slots are taken refuses a long request as soon as one long slot is free elsewhere, with a margin of half a request because the header rounds 2/3 up. A long request that waits only for its turn among short ones is not moved. A refused long request no longer raises the score for short ones.

Ruled out: sending -1 while nothing is reported, because uploads answer at their end and a fresh node would know nothing for its first ones.

Before: TestPlannedStopFinishesUploads hung. Its wait for the uploads ends with a failure after limit; what it proves is unchanged.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -30,8 +30,8 @@
 	// Arrival is the time at which the call reached its first node.
 	Arrival  time.Time
 	Deadline time.Time
-	// LeastLoad is the least load per slot that the sender knows of elsewhere;
-	// negative where it knows nothing.
+	// LeastLoad is the least load per slot that the sender knows of elsewhere, for a
+	// long request per long slot; negative where it knows nothing.
 	LeastLoad float64
 	// Hedge marks a second copy, which takes a free slot or is refused.
 	Hedge bool
@@ -223,7 +223,7 @@
 
 func (a *Admitter) load(limit int) reporter.Load {
 	service, _ := a.estimates[Short].mean()
-	return reporter.Load{
+	l := reporter.Load{
 		InFlight:    a.inFlight[Short] + a.inFlight[Long],
 		QueuedShort: a.queues[Short].Len(),
 		QueuedLong:  a.queues[Long].Len(),
@@ -232,4 +232,9 @@
 		Incarnation: a.Incarnation,
 		Draining:    a.draining,
 	}
+	if !a.NoLanes {
+		l.LongInFlight = a.inFlight[Long]
+		l.LongSlots = a.longLimit(limit)
+	}
+	return l
 }
--- /dev/null
+++ b/internal/admitter/placement_test.go
@@ -0,0 +1,112 @@
+package admitter_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianlever/gentianlever/internal/admitter"
+	"github.com/gentianlever/gentianlever/internal/refuser"
+)
+
+// occupy starts or queues requests of a class.
+func occupy(t *testing.T, a *admitter.Admitter, class admitter.Class, n int) {
+	for range n {
+		go func() {
+			r := request(time.Hour)
+			r.Class = class
+			_, _ = a.Admit(t.Context(), r)
+		}()
+		synctest.Wait()
+	}
+}
+
+// Guards against a long request that queues although a long slot is free elsewhere,
+// and against one that is moved although none is or its turn comes soon.
+func TestLongPlacement(t *testing.T) {
+	cases := []struct {
+		name     string
+		shorts   int
+		longs    int
+		change   func(r *admitter.Request)
+		expected refuser.Reason
+	}{
+		{
+			name:     "one slot free elsewhere",
+			longs:    3,
+			change:   func(r *admitter.Request) { r.LeastLoad = 0.667 },
+			expected: refuser.Placement,
+		},
+		{
+			name:   "none free elsewhere",
+			longs:  5,
+			change: func(r *admitter.Request) { r.LeastLoad = 1 },
+		},
+		{
+			name:   "nothing known elsewhere",
+			longs:  3,
+			change: func(r *admitter.Request) { r.LeastLoad = -1 },
+		},
+		{
+			name:   "long slot free here",
+			longs:  2,
+			change: func(r *admitter.Request) { r.LeastLoad = 0 },
+		},
+		{
+			name:   "short ones hold the slots",
+			shorts: 12,
+			longs:  2,
+			change: func(r *admitter.Request) { r.LeastLoad = 0 },
+		},
+		{
+			name:     "long ones wait for their turn",
+			shorts:   12,
+			longs:    3,
+			change:   func(r *admitter.Request) { r.LeastLoad = 0 },
+			expected: refuser.Placement,
+		},
+		{
+			name:  "short one",
+			longs: 5,
+			change: func(r *admitter.Request) {
+				r.Class = admitter.Short
+				r.LeastLoad = 0
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := server()
+				occupy(t, a, admitter.Short, c.shorts)
+				occupy(t, a, admitter.Long, c.longs)
+				r := request(time.Hour)
+				r.Class = admitter.Long
+				c.change(&r)
+				is.New(t).Equal(reason(a.Check(r)), c.expected)
+			})
+		})
+	}
+}
+
+// Guards against a load report whose long part differs from what the admitter runs.
+func TestLongLoad(t *testing.T) {
+	for seed := range seeds {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			a := server()
+			random := rand.New(rand.NewPCG(seed, 0))
+			shorts, longs := random.IntN(9), random.IntN(8)
+			occupy(t, a, admitter.Short, shorts)
+			occupy(t, a, admitter.Long, longs)
+			l := a.Load()
+			is.Equal(l.LongSlots, 3)
+			is.Equal(l.LongInFlight, min(longs, 3))
+			is.Equal(l.QueuedLong, longs-l.LongInFlight)
+			is.Equal(l.InFlight, shorts+l.LongInFlight)
+		})
+	}
+}
--- a/internal/admitter/refusal.go
+++ b/internal/admitter/refusal.go
@@ -14,6 +14,10 @@
 	// is refused for placement, because all endpoints are full. A ceiling of 1.25 lets
 	// attempts per call rise from 1.26 to 1.32 at 85% load for less than 1% of p99.
 	placementCeiling = 1.0
+	// longSurplus is placementSurplus for long requests: one free long slot elsewhere
+	// is worth a move, because waiting costs the time of an upload. It is below 1 so
+	// that the rounding of the least load in its header does not hide that slot.
+	longSurplus = 0.5
 )
 
 // refusal decides whether r is refused now; nil admits or queues it.
@@ -101,6 +105,9 @@
 	if a.NoPlacement || r.Claimed || r.LeastLoad < 0 || r.LeastLoad >= placementCeiling {
 		return false
 	}
+	if a.lane(r.Class) == Long {
+		return a.longMisplaced(r, limit)
+	}
 	if a.free(Short, limit) {
 		return false
 	}
@@ -108,6 +115,14 @@
 	return float64(total) > r.LeastLoad*float64(limit)+placementSurplus
 }
 
+// longMisplaced is misplaced for a long request. Where a long slot is left over, the
+// request waits only for its turn among short ones.
+func (a *Admitter) longMisplaced(r Request, limit int) bool {
+	longLimit := a.longLimit(limit)
+	total := a.inFlight[Long] + a.queues[Long].Len()
+	return total >= longLimit && float64(total) > r.LeastLoad*float64(longLimit)+longSurplus
+}
+
 // full reports whether a lane's queue has no room, after the requests that can't meet
 // their deadline any more have been refused.
 func (a *Admitter) full(lane Class, limit int, now time.Time) bool {
--- a/internal/picker/health.go
+++ b/internal/picker/health.go
@@ -107,6 +107,11 @@
 			p.eject(a, now)
 		}
 	case Refused:
+		if a.long {
+			// The report that came with it says what the long slots are like, and it
+			// says nothing of short requests.
+			return
+		}
 		s.addTrouble(refusalTrouble, now)
 	}
 }
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -95,13 +95,22 @@
 	foreign float64
 	// slots are those of the endpoint that reported last.
 	slots int
+
+	// longEstimate is the moving average of long requests' latency, in nanoseconds.
+	longEstimate float64
+	// foreignLong is the moving average of the long load per long slot that others cause.
+	foreignLong float64
+	// longSlots are those of the endpoint that reported them last.
+	longSlots int
 }
 
 // Attempt is one attempt at an endpoint. Done must be called once.
 type Attempt struct {
 	Endpoint Endpoint
-	// LeastLoad is the least load per slot known at another endpoint of the
-	// service; it is negative where nothing recent is known.
+	// LeastLoad is the least load per slot known at another endpoint of the service;
+	// it is negative where nothing recent is known. For a long request it is the
+	// least long load per long slot, assumed where nothing was reported, and negative
+	// where no other endpoint is left.
 	LeastLoad float64
 
 	picker   *Picker
@@ -204,7 +213,7 @@
 		group:     g,
 		state:     best,
 		start:     now,
-		crowding:  max(1, p.load(g, best, false, now)/best.slots(g)),
+		crowding:  max(1, p.load(g, best, now)/best.slots(g)),
 		long:      r.Long,
 		trial:     trial,
 	}
@@ -301,6 +310,7 @@
 	defer a.picker.mu.Unlock()
 	a.state.remove(a)
 	a.observe(o, now)
+	a.settleLong(o, now)
 	a.picker.judge(a, o, now)
 }
 
--- a/internal/picker/score.go
+++ b/internal/picker/score.go
@@ -28,9 +28,6 @@
 	// overdue is the age, in expected latencies, from which a request without an
 	// answer raises the estimated service time.
 	overdue = 2
-	// longWeight is the weight of a long request against other long ones, which
-	// share about a quarter of the slots.
-	longWeight = 4
 )
 
 // state is what the picker knows of one endpoint.
@@ -55,6 +52,8 @@
 	draining bool
 	// foreign is the part of the reported load that is not of this node's short requests.
 	foreign float64
+	// foreignLong is the part of the reported long load that is not of this node.
+	foreignLong float64
 
 	// observed is the moving average of own short requests' service time, in nanoseconds.
 	observed   float64
@@ -135,6 +134,7 @@
 		g.slots = l.Slots
 		g.foreign += groupWeight * (s.foreign/float64(l.Slots) - g.foreign)
 	}
+	s.recordLong(g)
 }
 
 func (s *state) slots(g *group) float64 {
@@ -214,23 +214,26 @@
 	return e
 }
 
-// load returns the requests at an endpoint that a new one of the class meets: own
-// ones, and those of others discounted towards the average as the report ages.
-func (p *Picker) load(g *group, s *state, long bool, now time.Time) float64 {
-	w := 0.0
-	if !s.reportedAt.IsZero() {
-		w = 1
-		if !p.NoAgeDiscount {
-			w = discount(now.Sub(s.reportedAt), reportTime*g.service())
-		}
+// weight returns the weight of an endpoint's report, whose value is forgotten within
+// a time in nanoseconds.
+func (p *Picker) weight(s *state, forgotten float64, now time.Time) float64 {
+	switch {
+	case s.reportedAt.IsZero():
+		return 0
+	case p.NoAgeDiscount:
+		return 1
 	}
+	return discount(now.Sub(s.reportedAt), reportTime*forgotten)
+}
+
+// load returns the requests at an endpoint that a new short one meets: own ones, and
+// those of others discounted towards the average as the report ages.
+func (p *Picker) load(g *group, s *state, now time.Time) float64 {
+	w := p.weight(s, g.service(), now)
 	load := float64(s.short) + w*s.foreign + (1-w)*g.foreign*s.slots(g)
 	if s.reportedAt.IsZero() {
 		load += float64(s.long)
 	}
-	if long {
-		load += longWeight * (float64(s.long) + w*float64(s.report.QueuedLong))
-	}
 	return load
 }
 
@@ -238,8 +241,12 @@
 // request's own service time is part of it, because an idle endpoint that is ten
 // times slower would otherwise score zero.
 func (p *Picker) score(g *group, s *state, long bool, now time.Time) float64 {
-	perSlot := p.load(g, s, long, now) / s.slots(g)
+	perSlot := p.load(g, s, now) / s.slots(g)
 	e := p.serviceTime(g, s, perSlot, now)
+	if long {
+		e *= g.longService() / g.service()
+		perSlot = p.longLoad(g, s, now)/s.longSlots(g) + tieWeight*perSlot
+	}
 	if !p.NoSlowStart {
 		perSlot /= s.ramp(now)
 	}
@@ -250,8 +257,10 @@
 	return score + float64(s.distance)
 }
 
-// leastLoad returns the least load per slot at another endpoint that a recent report
-// describes, and -1 without one. Of a large service it examines a random part.
+// leastLoad returns the least load per slot at another endpoint, and -1 without one.
+// For a short request only recent reports count. A long request is worth a move on
+// older knowledge or none, as it waits much longer than a move takes. Of a large
+// service leastLoad examines a random part.
 func (p *Picker) leastLoad(g *group, chosen *state, r *Request, now time.Time) float64 {
 	least := -1.0
 	stale := max(minStale, time.Duration(staleTime*g.service()))
@@ -261,10 +270,17 @@
 	}
 	for i := range min(len(g.states), leastSample) {
 		s := g.states[(offset+i)%len(g.states)]
-		if s == chosen || s.reportedAt.IsZero() || now.Sub(s.reportedAt) > stale || s.ejected() || !s.usable(r) {
+		if s == chosen || s.ejected() || !s.usable(r) {
 			continue
 		}
-		if l := p.load(g, s, r.Long, now) / s.slots(g); least < 0 || l < least {
+		if !r.Long && (s.reportedAt.IsZero() || now.Sub(s.reportedAt) > stale) {
+			continue
+		}
+		l := p.load(g, s, now) / s.slots(g)
+		if r.Long {
+			l = p.longLoad(g, s, now) / s.longSlots(g)
+		}
+		if least < 0 || l < least {
 			least = l
 		}
 	}
--- a/internal/reporter/load.go
+++ b/internal/reporter/load.go
@@ -23,6 +23,12 @@
 	QueuedLong int
 	// Slots is the number of requests the endpoint runs at once.
 	Slots int
+	// LongInFlight is the number of long requests among those in flight. It is known
+	// only where LongSlots is above zero.
+	LongInFlight int
+	// LongSlots is the number of slots that long requests may hold. Zero means that it
+	// is not known, as in the report of an older version.
+	LongSlots int
 	// ServiceTime is the estimated time for which a short request holds a slot.
 	ServiceTime time.Duration
 	// Incarnation identifies the run of the node; it rises with each start.
@@ -41,7 +47,7 @@
 
 // Encode returns the header value of l. The service time is in microseconds.
 func (l Load) Encode() string {
-	b := make([]byte, 0, 64)
+	b := make([]byte, 0, 160)
 	b = append(b, "in-flight="...)
 	b = strconv.AppendInt(b, int64(l.InFlight), 10)
 	b = append(b, ";queued-short="...)
@@ -50,6 +56,12 @@
 	b = strconv.AppendInt(b, int64(l.QueuedLong), 10)
 	b = append(b, ";slots="...)
 	b = strconv.AppendInt(b, int64(l.Slots), 10)
+	if l.LongSlots > 0 {
+		b = append(b, ";long-in-flight="...)
+		b = strconv.AppendInt(b, int64(l.LongInFlight), 10)
+		b = append(b, ";long-slots="...)
+		b = strconv.AppendInt(b, int64(l.LongSlots), 10)
+	}
 	b = append(b, ";service-us="...)
 	b = strconv.AppendInt(b, l.ServiceTime.Microseconds(), 10)
 	b = append(b, ";incarnation="...)
@@ -70,8 +82,8 @@
 	return fmt.Sprintf("load header: field %q has the unreadable value %q", e.Field, e.Value)
 }
 
-// Parse reads a header value made by Encode. Unknown fields are skipped, so that
-// nodes of two versions can work together. It returns a *FieldError.
+// Parse reads a header value made by Encode. Unknown fields are skipped and missing
+// ones are zero, so that nodes of two versions can work together. It returns a *FieldError.
 func Parse(s string) (Load, error) {
 	var l Load
 	for len(s) > 0 {
@@ -82,6 +94,9 @@
 			return Load{}, err
 		}
 	}
+	if l.LongSlots == 0 {
+		l.LongInFlight = 0
+	}
 	return l, nil
 }
 
@@ -91,7 +106,7 @@
 		return nil
 	}
 	switch name {
-	case "in-flight", "queued-short", "queued-long", "slots", "service-us", "incarnation":
+	case "in-flight", "queued-short", "queued-long", "slots", "long-in-flight", "long-slots", "service-us", "incarnation":
 	default:
 		return nil
 	}
@@ -111,6 +126,10 @@
 		l.QueuedLong = int(n)
 	case "slots":
 		l.Slots = int(n)
+	case "long-in-flight":
+		l.LongInFlight = int(n)
+	case "long-slots":
+		l.LongSlots = int(n)
 	case "service-us":
 		l.ServiceTime = time.Duration(n) * time.Microsecond
 	case "incarnation":
--- a/test/integration/drain_test.go
+++ b/test/integration/drain_test.go
@@ -36,9 +36,15 @@
 	}
 	answers := sendUploads(t, s)
 	atLeaving := 0
+	deadline := time.After(limit)
 	for range uploads {
-		if <-started == 2 {
-			atLeaving++
+		select {
+		case at := <-started:
+			if at == 2 {
+				atLeaving++
+			}
+		case <-deadline:
+			t.Fatal("not all uploads are running")
 		}
 	}
 	is.True(atLeaving > 0) // some uploads run at the endpoint that leaves
