Repair a restored table before an edit is committed

Cause: Apply answered 503 while the table's head row was below the node's revision, and left the repair to the second periodic read. It also compared only head revisions, so a restored table that had gone on above the node's revision could give an edit a version that a lost change has.

Now Apply compares the head row and the service's row with what the node knew before the reads, repairs with the same conditional writes, and tries the edit again within its 8 attempts. Stale reads are ruled out as a harm: the writes are conditional on what was read. A revision that only another node announced is fetched from it first.

--- a/internal/distributor/apply.go
+++ b/internal/distributor/apply.go
@@ -17,14 +17,19 @@
 	applyFirstWait = 20 * time.Millisecond
 )
 
-// BehindError reports a table that holds a lower revision than some node.
+// BehindError reports a table that lacks changes that some node knows.
 type BehindError struct {
+	// Table is the head revision that was read.
 	Table uint64
+	// Known is the highest revision that this node has heard of.
 	Known uint64
+	// Cause is why the table could not be repaired. It is not unwrapped, because a
+	// lost answer of the repair says nothing of the edit.
+	Cause error
 }
 
 func (e *BehindError) Error() string {
-	return fmt.Sprintf("table is at revision %d, below the known revision %d, and is not repaired yet", e.Table, e.Known)
+	return fmt.Sprintf("table at revision %d lacks changes up to the known revision %d and is not repaired yet: %v", e.Table, e.Known, e.Cause)
 }
 
 // Apply accepts an edit. An edit that is sent again with its EditID is answered with
@@ -73,24 +78,21 @@
 // attempt tries to accept an edit once. A *storer.ConditionError means that other
 // edits moved a row meanwhile.
 func (d *Distributor) attempt(ctx context.Context, e Edit) (Change, error) {
-	head, err := d.head(ctx)
+	// What is known is taken before the reads: a change that arrives between them is
+	// no sign of a restored table.
+	known := d.knownChange(e.Service)
+	head, err := d.restored(ctx)
 	if err != nil {
 		return Change{}, err
 	}
-	if known := d.highest(); head.Revision < known {
-		// An edit accepted now could get a version that a lost change already has.
-		return Change{}, &storer.UnavailableError{
-			Operation: "apply",
-			Cause: &BehindError{
-				Table: head.Revision,
-				Known: known,
-			},
-		}
-	}
 	row, err := d.service(ctx, e.Service)
 	if err != nil {
 		return Change{}, err
 	}
+	if known.Version > row.Change.Version || known.Version == row.Change.Version && known.EditID != row.Change.EditID {
+		// The table was restored and went on to a revision above this node's.
+		return Change{}, d.mend(ctx, head.Revision)
+	}
 	if revision, ok := row.find(e.EditID); ok && !d.DisableSettling {
 		return d.settled(ctx, revision, row)
 	}
--- a/internal/distributor/follow.go
+++ b/internal/distributor/follow.go
@@ -152,13 +152,7 @@
 			return
 		case <-d.wake:
 		}
-		d.mu.Lock()
-		source, announced, own := d.source, d.announced, d.revision
-		d.mu.Unlock()
-		if announced <= own {
-			continue
-		}
-		if source != "" && d.fetch(ctx, source, announced) == nil {
+		if d.fetchAnnounced(ctx) == nil {
 			continue
 		}
 		// After another failure, the next message or read of the head row repeats it.
@@ -168,8 +162,32 @@
 	}
 }
 
+// fetchAnnounced gets what another node announced, unless this node knows it.
+func (d *Distributor) fetchAnnounced(ctx context.Context) error {
+	d.mu.Lock()
+	source, announced, own := d.source, d.announced, d.revision
+	d.mu.Unlock()
+	switch {
+	case announced <= own:
+		return nil
+	case source == "":
+		return errNoSource
+	}
+	err := d.fetch(ctx, source, announced)
+	if errors.Is(err, errIncomplete) {
+		// No node is known to have the announced revision any more.
+		d.mu.Lock()
+		if d.source == source && d.announced == announced {
+			d.announced = d.revision
+		}
+		d.mu.Unlock()
+	}
+	return err
+}
+
 // The failures of a fetch after which the table decides.
 var (
+	errNoSource   = errors.New("no node is known to have the announced revision")
 	errInvalid    = errors.New("change of a peer is not valid")
 	errIncomplete = errors.New("peer no longer has the changes that it announced")
 )
--- /dev/null
+++ b/internal/distributor/restored_test.go
@@ -0,0 +1,101 @@
+package distributor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// versions accepts edits of vault up to a version and returns the table after the first.
+func (c *cluster) versions(ctx context.Context, is *is.I, upTo uint64) (restore func()) {
+	for v := range upTo {
+		_, err := c.nodes[0].Apply(ctx, edit("vault", fmt.Sprint("e", v+1), v))
+		is.NoErr(err)
+		if v == 0 {
+			old := c.platform.snapshot()
+			restore = func() { c.platform.set(func() { c.platform.rows = old }) }
+		}
+	}
+	return restore
+}
+
+// Guards against an edit on the version in force that is refused, or accepted twice,
+// while several nodes repair a restored table at once and answers are lost.
+func TestEditRacesWithTheRepair(t *testing.T) {
+	for _, lost := range []int{0, 1, 2, 3} {
+		is := is.NewRelaxed(t)
+		c := &cluster{}
+		c.run(t, 6, func(ctx context.Context) {
+			restore := c.versions(ctx, is, 3)
+			_, err := c.nodes[0].Apply(ctx, edit("desk", "d1", 0))
+			is.NoErr(err)
+			_, ok := within(8*time.Second, func() bool { return c.agree("vault", "e3", 3) && c.agree("desk", "d1", 1) })
+			is.True(ok)
+			restore()
+			c.platform.set(func() { c.platform.loseAnswers = lost })
+			var wg sync.WaitGroup
+			errs := make([]error, len(c.nodes))
+			for i, x := range c.nodes {
+				wg.Go(func() { _, errs[i] = x.Apply(ctx, edit("vault", fmt.Sprint("next", i), 3)) })
+			}
+			wg.Wait()
+			accepted := ""
+			for i, err := range errs {
+				var conflict *ConflictError
+				if err == nil {
+					is.Equal(accepted, "") // one edit is accepted
+					accepted = fmt.Sprint("next", i)
+					continue
+				}
+				is.True(errors.As(err, &conflict))
+				is.Equal(conflict.Current, uint64(4))
+			}
+			_, ok = within(8*time.Second, func() bool { return c.agree("vault", accepted, 4) && c.agree("desk", "d1", 1) })
+			is.True(ok)
+		})
+	}
+}
+
+// Guards against documents that differ, or go back, after a node that knew only the
+// restored table accepted an edit. The higher version holds; the edit that the table
+// accepted below it stays in the history and is not in force.
+func TestEditOnARestoredTableByANewNode(t *testing.T) {
+	for _, known := range []uint64{2, 3} {
+		is := is.NewRelaxed(t)
+		c := &cluster{}
+		c.run(t, 6, func(ctx context.Context) {
+			// The last node is cut off and has no documents: it stands for a new one.
+			late := c.nodes[5]
+			late.setAlone(true)
+			restore := c.versions(ctx, is, known)
+			restore()
+			time.Sleep(time.Millisecond)
+			other, err := late.Apply(ctx, edit("vault", "other", 1))
+			is.NoErr(err)
+			is.Equal(other.Version, uint64(2))
+			late.setAlone(false)
+			winner, version := "other", uint64(2) // of one version, the later edit holds
+			if known > 2 {
+				winner, version = "e3", 3
+			}
+			_, ok := within(20*time.Second, func() bool { return c.agree("vault", winner, version) })
+			is.True(ok)
+			time.Sleep(20 * time.Second)
+			is.True(c.agree("vault", winner, version))
+			history, err := c.nodes[1].History(ctx, "vault")
+			is.NoErr(err)
+			is.Equal(history[len(history)-2].EditID, "other")
+			for _, x := range c.nodes {
+				is.True(x.monotonic())
+			}
+			next, err := late.Apply(ctx, edit("vault", "next", version))
+			is.NoErr(err)
+			is.Equal(next.Version, version+1)
+		})
+	}
+}
