Bound the reads of the table and the updates after a mass start

Cause: nodes that start together with neither seeds nor rows each read the rows within 3 s and the head row within 2 s, then each second while they knew few others, and each repeated every record that a sync gave it. A node can't tell a start of 3 nodes from one of 1,500 while the table shows nothing, so a bound for both needs to be told: the new setting expected-nodes spreads the first reads. Without it a first read is made within 1.5 s, as for a few nodes.

Ruled out: dropping the queue whatever was sent already; with 300 nodes all knew all after 77 s instead of 49 s.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -29,8 +29,14 @@
 	retransmitFactor = 4
 	// maxUpdates and maxSuspects keep a message below 1,200 bytes: a member takes
 	// about 110 bytes and a fingerprint 32.
-	maxUpdates      = 6
-	maxSuspects     = 4
+	maxUpdates  = 6
+	maxSuspects = 4
+	// massUpdates queued updates are ten full messages; failures and restarts of an
+	// ordinary day stay below.
+	massUpdates = 10 * maxUpdates
+	// massSent messages carry an update also in a mass start, for nodes that start
+	// late in it: with 300 nodes all know all after 49 s, with none after 77 s.
+	massSent        = 4
 	maxSuspectBytes = 32
 	// noticeFanout members learn of a new revision at once. Each of them notifies as
 	// many, which reaches 95% of the members; pings reach the others.
@@ -58,6 +64,9 @@
 	// Seeds are addresses of nodes to ask first.
 	Seeds []netip.AddrPort
 	Table storer.Table
+	// Expected is about the number of nodes of the system, zero for a few. A start
+	// without seeds is spread over Expected / (20 per second), at least 1.5 s.
+	Expected int
 	// Seed is the seed of the random choices.
 	Seed uint64
 	// Send sends a message without waiting for an answer.
--- a/internal/announcer/gossip.go
+++ b/internal/announcer/gossip.go
@@ -42,20 +42,26 @@
 	return updates
 }
 
-// learn merges an update from a message.
+// learn merges a record of another node and has it sent along.
 func (a *Announcer) learn(m Member) {
+	if a.merge(m) {
+		a.enqueue(m)
+	}
+}
+
+// merge puts a record of another node in force and reports whether it was new. A
+// record of this node itself is refuted.
+func (a *Announcer) merge(m Member) bool {
 	if m.ID == a.Self.ID {
 		a.refute(m)
-		return
+		return false
 	}
 	old, ok := a.members[m.ID]
-	if ok && !m.supersedes(old.member) {
-		return
-	}
-	if !ok && !m.Present() {
-		return
+	if ok && !m.supersedes(old.member) || !ok && !m.Present() {
+		return false
 	}
-	a.store(m)
+	a.keep(m)
+	return true
 }
 
 // refute answers a record of this node that it did not make.
@@ -68,8 +74,14 @@
 	a.store(own)
 }
 
-// store puts a record in force and has it sent along.
+// store puts a record that this node made in force and has it sent along.
 func (a *Announcer) store(m Member) {
+	a.keep(m)
+	a.enqueue(m)
+}
+
+// keep puts a record in force. An update of an older record is no longer sent.
+func (a *Announcer) keep(m Member) {
 	_, known := a.members[m.ID]
 	a.members[m.ID] = &record{
 		member: m,
@@ -78,7 +90,7 @@
 	if !known {
 		a.insert(m.ID)
 	}
-	a.enqueue(m)
+	delete(a.news, m.ID)
 	a.signal()
 }
 
--- a/internal/announcer/network_test.go
+++ b/internal/announcer/network_test.go
@@ -35,6 +35,8 @@
 	rows      map[string]storer.Row
 	perSecond map[int64]int
 	started   int
+	// updates counts the updates that messages carried, by second.
+	updates map[int64]int
 }
 
 type node struct {
@@ -58,6 +60,7 @@
 			w.rows = make(map[string]storer.Row)
 		}
 		w.perSecond = make(map[int64]int)
+		w.updates = make(map[int64]int)
 		for i := range n {
 			w.start(fmt.Sprintf("vm-%d", i), address(i))
 		}
@@ -143,6 +146,7 @@
 
 func (w *network) send(from, to netip.AddrPort, m Message) {
 	w.mu.Lock()
+	w.updates[time.Now().Unix()] += len(m.Updates)
 	lost := w.random.Float64() < w.loss
 	w.mu.Unlock()
 	if lost || w.reach(from, to) == nil {
--- a/internal/announcer/rows.go
+++ b/internal/announcer/rows.go
@@ -11,13 +11,24 @@
 const (
 	partition = "members"
 	rowsPage  = 500
+	// joinPage rows are enough to find a member that answers.
+	joinPage = 200
 	// firstReadSpread bounds the wait of a node without seeds for its first read of
-	// the rows. Most of the nodes that start together are pinged by an earlier
-	// reader within it and never read.
-	firstReadSpread = 3 * time.Second
-	firstSync       = 2 * time.Second
+	// the rows, so that a few nodes find each other within about 2 s.
+	firstReadSpread = 1500 * time.Millisecond
+	// joinsPerSecond is the rate at which all nodes together read the rows for the
+	// first time. No node can know how many others start with it while the table
+	// shows no rows, so the rate holds where Expected is set. Most nodes are pinged
+	// by an earlier reader before their turn and never read.
+	joinsPerSecond = 20
+	// earlyRetry, doubled with each attempt up to joinRetry, separates the attempts
+	// of a node that found no other one.
+	earlyRetry = 300 * time.Millisecond
+	firstSync  = 2 * time.Second
 	// contacts members of the rows are pinged, so that few readers reach all nodes.
 	contacts = 32
+	// joinCheck is the time between looks for a member that answered.
+	joinCheck = 100 * time.Millisecond
 	// joinRetry and the jitter of the same length separate attempts to find others.
 	joinRetry = 5 * time.Second
 	// firstWriteSpread makes 25 writes a second where 1,500 nodes start together.
@@ -37,15 +48,18 @@
 // join finds other members: through the seeds at once, then through the rows.
 func (a *Announcer) join(ctx context.Context) {
 	a.joinSeeds(ctx)
-	if !a.joined() && !sleep(ctx, a.jitter(firstReadSpread)) {
+	spread := max(firstReadSpread, time.Duration(a.Expected)*time.Second/joinsPerSecond)
+	if !a.joined() && !sleep(ctx, a.jitter(spread)) {
 		return
 	}
+	retry := earlyRetry * spread / firstReadSpread
 	for !a.joined() {
-		a.joinRows(ctx)
+		a.joinRows(ctx, a.readSome)
 		a.joinSeeds(ctx)
-		if !sleep(ctx, joinRetry+a.jitter(joinRetry)) {
+		if !a.awaitMember(ctx, retry+a.jitter(retry)) {
 			return
 		}
+		retry = min(2*retry, max(joinRetry, spread))
 	}
 	// Where many nodes start together, the first partner knows few of them; each
 	// further sync doubles what both know.
@@ -65,6 +79,17 @@
 	return a.present() > 1
 }
 
+// awaitMember waits until another member is known, at most for a time. It reports
+// whether ctx still holds.
+func (a *Announcer) awaitMember(ctx context.Context, limit time.Duration) bool {
+	for end := time.Now().Add(limit); !a.joined() && time.Now().Before(end); {
+		if !sleep(ctx, min(joinCheck, time.Until(end))) {
+			return false
+		}
+	}
+	return ctx.Err() == nil
+}
+
 func (a *Announcer) joinSeeds(ctx context.Context) {
 	for _, seed := range a.Seeds {
 		if seed == a.Self.Address {
@@ -79,8 +104,8 @@
 // joinRows pings members of the rows. They are hints: a member counts when it answers.
 // Where the rows lack this node and are few, its own is written at once, so that
 // others find it.
-func (a *Announcer) joinRows(ctx context.Context) {
-	members, own, err := a.readRows(ctx)
+func (a *Announcer) joinRows(ctx context.Context, read func(context.Context) ([]Member, bool, error)) {
+	members, own, err := read(ctx)
 	if err == nil && !own && len(members) < contacts {
 		select {
 		case a.writeNow <- struct{}{}:
@@ -116,7 +141,7 @@
 			wait = joinRetry + a.jitter(rowInterval/2)
 		}
 		if count%readEvery == 0 {
-			a.joinRows(ctx)
+			a.joinRows(ctx, a.readRows)
 		}
 		if !sleep(ctx, wait) {
 			return
@@ -183,37 +208,68 @@
 	})
 }
 
+// readSome returns members of some rows and whether this node has one among them. It
+// reads a page after this node's own ID, so that nodes contact different members,
+// and one from the start where that page has none.
+func (a *Announcer) readSome(ctx context.Context) ([]Member, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	var r reading
+	for _, after := range []string{a.Self.ID, ""} {
+		rows, err := a.Table.Query(ctx, partition, after, joinPage)
+		if err != nil {
+			return r.members, r.own, err
+		}
+		a.take(ctx, &r, rows)
+		if len(r.members) > 0 {
+			break
+		}
+	}
+	return r.members, r.own, nil
+}
+
 // readRows returns the members of all rows but this node's and whether this node
 // has one, and deletes a few rows of members long gone.
-func (a *Announcer) readRows(ctx context.Context) (members []Member, own bool, err error) {
+func (a *Announcer) readRows(ctx context.Context) ([]Member, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	deletes := 0
+	var r reading
 	for after := ""; ; {
 		rows, err := a.Table.Query(ctx, partition, after, rowsPage)
 		if err != nil {
-			return members, own, err
-		}
-		for _, row := range rows {
-			after = row.Key.Sort
-			var m Member
-			if json.Unmarshal(row.Body, &m) != nil {
-				continue
-			}
-			if m.ID == a.Self.ID {
-				own = m.Address == a.Self.Address
-				continue
-			}
-			if a.gone(row) && deletes < maxDeletes {
-				deletes++
-				_ = a.removeRow(ctx, row)
-				continue
-			}
-			members = append(members, m)
+			return r.members, r.own, err
 		}
+		a.take(ctx, &r, rows)
 		if len(rows) < rowsPage {
-			return members, own, nil
+			return r.members, r.own, nil
+		}
+		after = rows[len(rows)-1].Key.Sort
+	}
+}
+
+// reading is what a read of rows found.
+type reading struct {
+	members []Member
+	own     bool
+	deletes int
+}
+
+func (a *Announcer) take(ctx context.Context, r *reading, rows []storer.Row) {
+	for _, row := range rows {
+		var m Member
+		if json.Unmarshal(row.Body, &m) != nil {
+			continue
+		}
+		if m.ID == a.Self.ID {
+			r.own = m.Address == a.Self.Address
+			continue
+		}
+		if a.gone(row) && r.deletes < maxDeletes {
+			r.deletes++
+			_ = a.removeRow(ctx, row)
+			continue
 		}
+		r.members = append(r.members, m)
 	}
 }
 
--- a/internal/announcer/sync.go
+++ b/internal/announcer/sync.go
@@ -52,6 +52,9 @@
 	}
 	a.mu.Lock()
 	a.reconcile(response.Members)
+	if len(response.Buckets) == 0 {
+		a.drop()
+	}
 	request = SyncRequest{
 		Sender:  a.own(),
 		Members: a.lacking(response),
@@ -89,8 +92,13 @@
 	if r.Digest != nil {
 		// Compared before the sender is merged, whose new record both then have.
 		response = a.differing(r)
+		if len(response.Buckets) == 0 {
+			a.drop()
+		}
 	}
-	a.reconcile(append(r.Members, r.Sender))
+	a.reconcile(r.Members)
+	// The sender may have just started and know nobody else.
+	a.learn(r.Sender)
 	return response
 }
 
@@ -111,14 +119,16 @@
 
 // reconcile merges members of a sync. Where the nodes differ on whether a member
 // has failed, a ping decides: after a partition each side holds the whole other
-// side for failed, and neither may take over the other's view.
+// side for failed, and neither may take over the other's view. Records are not sent
+// along again: the members of a sync already spread by messages or further syncs,
+// and after a mass start each node would repeat all of them.
 func (a *Announcer) reconcile(members []Member) {
 	for _, m := range members {
 		old, ok := a.members[m.ID]
 		disputed := ok && m.ID != a.Self.ID && m.Incarnation == old.member.Incarnation &&
 			(m.State == Failed && old.member.Present() || m.Present() && old.member.State == Failed)
 		if !disputed {
-			a.learn(m)
+			a.merge(m)
 			continue
 		}
 		if !slices.Contains(a.verify, m.ID) {
@@ -126,3 +136,17 @@
 		}
 	}
 }
+
+// drop ends the sending of updates on present members after a mass start, once a
+// random member has proved to know the same ones. Without it, the queue takes about
+// 40 minutes to drain with 1,500 nodes.
+func (a *Announcer) drop() {
+	if len(a.news) < massUpdates {
+		return
+	}
+	for id, u := range a.news {
+		if u.member.State == Alive && id != a.Self.ID && u.sent >= massSent {
+			delete(a.news, id)
+		}
+	}
+}
--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -89,6 +89,9 @@
 // Distributor holds the documents in force. Set the exported fields before Run.
 type Distributor struct {
 	Table storer.Table
+	// Expected is about the number of nodes of the system, zero for a few. It spreads
+	// the reads after a start, when few members are known.
+	Expected int
 	// Seed is the seed of the random choices.
 	Seed uint64
 	// Fetch returns the changes in force on a node after a revision.
--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -255,3 +255,25 @@
 		is.Equal(before, 500)
 	})
 }
+
+// Guards against a mass start in which every node reads the head row each second,
+// because it knows few others yet.
+func TestFirstReadsOfManyNodesAreSpread(t *testing.T) {
+	is := is.NewRelaxed(t)
+	c := &cluster{
+		members: 3, // what a node knows of the others early in the start
+		adjust:  func(n *node) { n.Expected = 1500 },
+	}
+	c.run(t, 150, func(context.Context) {
+		most := 0
+		for range 60 {
+			before, after := 0, 0
+			c.platform.set(func() { before = c.platform.reads })
+			time.Sleep(time.Second)
+			c.platform.set(func() { after = c.platform.reads })
+			most = max(most, after-before)
+		}
+		t.Logf("150 nodes of 1,500: at most %d reads a second", most)
+		is.True(most <= 25)
+	})
+}
--- a/internal/distributor/follow.go
+++ b/internal/distributor/follow.go
@@ -16,8 +16,14 @@
 	// firstReadSpread leaves nodes that start together the time to get the documents
 	// from the first of them instead of the table.
 	firstReadSpread = 2 * time.Second
-	tableTimeout    = 5 * time.Second
-	fetchTimeout    = 10 * time.Second
+	// firstReadsPerSecond is the rate of the first reads of all nodes where Expected
+	// is set. Most nodes have the documents from a peer before their turn.
+	firstReadsPerSecond = 50
+	// startTime is longer than a node takes to learn of most others in a mass start.
+	// Before, the number of known members is too low to derive the period from.
+	startTime    = 2 * time.Minute
+	tableTimeout = 5 * time.Second
+	fetchTimeout = 10 * time.Second
 	// pageRows rows of at most 400 KB; the table service cuts a page at 1 MB.
 	pageRows   = 50
 	maxHistory = 100
@@ -40,26 +46,34 @@
 }
 
 // period is the time between two reads of the head row by one node.
-func (d *Distributor) period() time.Duration {
+func (d *Distributor) period(running time.Duration) time.Duration {
 	n := 1
 	if d.Members != nil {
 		n = d.Members()
 	}
+	if running < startTime {
+		n = max(n, d.Expected)
+	}
 	return max(leastPeriod, time.Duration(n)*time.Second/readsPerSecond)
 }
 
 // headLoop reads the head row in each period, at a random phase.
 func (d *Distributor) headLoop(ctx context.Context) {
+	start := time.Now()
 	// The first read does not wait for a whole period, so that a node that knows no
 	// other one gets its documents soon.
-	if !sleep(ctx, d.jitter(firstReadSpread)) {
+	spread := max(firstReadSpread, time.Duration(d.Expected)*time.Second/firstReadsPerSecond)
+	if !sleep(ctx, d.jitter(spread)) {
 		return
 	}
-	lower := d.follow(ctx, 0)
-	wait := d.jitter(d.period())
+	lower := 0
+	if d.Expected == 0 || d.Revision() == 0 {
+		lower = d.follow(ctx, lower)
+	}
+	wait := d.jitter(d.period(time.Since(start)))
 	for sleep(ctx, wait) {
 		lower = d.follow(ctx, lower)
-		wait = d.period()
+		wait = d.period(time.Since(start))
 	}
 }
 
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -55,6 +55,7 @@
 			Incarnation:      incarnation,
 		},
 		Seeds:    s.Seeds,
+		Expected: s.ExpectedNodes,
 		Seed:     incarnation,
 		Table:    table,
 		Send:     n.udp.Send,
@@ -66,6 +67,7 @@
 	n.distributor = distributor.Distributor{
 		Table:    table,
 		Seed:     incarnation,
+		Expected: s.ExpectedNodes,
 		Fetch:    n.fetchChanges,
 		Notify:   n.announcer.Notify,
 		Applied:  n.documentApplied,
--- a/internal/validator/settings.go
+++ b/internal/validator/settings.go
@@ -14,6 +14,8 @@
 	defaultZoneDistance   = time.Millisecond
 	defaultRegionDistance = 30 * time.Millisecond
 	maxDistance           = time.Second
+	// maxExpectedNodes bounds the spread of the first reads to about 8 minutes.
+	maxExpectedNodes = 10000
 )
 
 // Settings are what a node reads once, at its start.
@@ -34,8 +36,10 @@
 	// EndpointAddress is the address of the node's endpoint.
 	EndpointAddress netip.AddrPort
 	// Seeds are addresses of other nodes that are asked first; the table has the rest.
-	Seeds    []netip.AddrPort
-	Platform Platform
+	Seeds []netip.AddrPort
+	// ExpectedNodes is about the number of nodes of the system; zero means a few.
+	ExpectedNodes int
+	Platform      Platform
 	// MembershipKey authenticates messages between nodes.
 	MembershipKey []byte
 	Owners        []Owner
@@ -175,6 +179,14 @@
 		},
 		set: func(v *value, s *Settings) { s.Seeds = list(v, (*value).addrPort) },
 	},
+	{
+		Field: Field{
+			Name: "expected-nodes",
+			Type: "integer",
+			Help: "about the number of nodes of the system; spreads the first reads of the table when all start at once",
+		},
+		set: func(v *value, s *Settings) { s.ExpectedNodes = int(v.integer(1, maxExpectedNodes)) },
+	},
 	{
 		Field: Field{
 			Name:     "platform",
