Claim at-most-once requests in the node

Cause: the claimer was not part of the node, so at-most-once requests ran without a claim. Each exchange also ended when its caller went away, and the nodes' listener closed before outcomes were recorded.

The node builds a Claimer over counted operations, answers claim status messages and asks claimants by their member ID. Keys and header values are bytes in the message, because they need not be UTF-8. After Dispatch an exchange goes on to its deadline without the caller; before it a caller that left leads to Withdraw. A failed exchange calls Lose. Claim.NotRun replaces the row of a dispatched claim by a withdrawn one where the endpoint shed the request or accepted no byte of it. The nodes' listener closes after the flush; calls that other nodes forwarded earlier are waited for before it.

Ruled out: taking a claimant for gone because the member record shows another start. Membership may lag behind a claim; the incarnation in the claimant's own answer decides instead, which gives the same result without the lag.

--- a/internal/claimer/claim.go
+++ b/internal/claimer/claim.go
@@ -108,6 +108,22 @@
 	return nil
 }
 
+// NotRun ends a dispatched claim whose request did not run: the endpoint said so, or
+// accepted no byte of it. The claim's row is replaced by a withdrawn one, so that a
+// later request with the key runs. If the table cannot be reached, the row is
+// withdrawn in the background. It does nothing before Dispatch or after Finish or Lose.
+func (cl *Claim) NotRun(ctx context.Context) {
+	c := cl.claimer
+	c.mu.Lock()
+	if !cl.dispatched || cl.state != Running {
+		c.mu.Unlock()
+		return
+	}
+	t := cl.abandon()
+	c.mu.Unlock()
+	c.attempt(ctx, t)
+}
+
 // Finish ends a dispatched claim with its answer, which is recorded in the
 // background. The answer must not change afterwards.
 func (cl *Claim) Finish(a Answer) {
@@ -124,7 +140,7 @@
 	c := cl.claimer
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !cl.dispatched || cl.state == Finished || cl.state == Lost {
+	if !cl.dispatched || cl.state != Running {
 		return
 	}
 	if a != nil && c.pendingBytes+a.size() > 2*orDefault(c.MaxPendingBytes, DefaultMaxPendingBytes) {
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -134,6 +134,32 @@
 			},
 			size: 1,
 		},
+		{
+			name: "dispatched and not run",
+			prepare: func(t *testing.T, s *cluster) {
+				cl := s.dispatch(t)
+				cl.NotRun(context.Background())
+				cl.Finish(Answer{Body: []byte{255}})
+			},
+		},
+		{
+			name: "dispatched and not run while the table fails",
+			prepare: func(t *testing.T, s *cluster) {
+				cl := s.dispatch(t)
+				s.table.inject = down
+				cl.NotRun(context.Background())
+				s.table.inject = nil
+			},
+		},
+		{
+			name: "finished and then said not to have run",
+			prepare: func(t *testing.T, s *cluster) {
+				cl := s.dispatch(t)
+				cl.Finish(Answer{Body: []byte{255}})
+				cl.NotRun(context.Background())
+			},
+			size: 1,
+		},
 		{
 			name:    "another digest",
 			prepare: func(t *testing.T, s *cluster) { s.finish(t, 10) },
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -36,6 +36,9 @@
 	TableReads        Name = "table-reads"
 	TableWrites       Name = "table-writes"
 	TableErrors       Name = "table-errors"
+	ObjectReads       Name = "object-reads"
+	ObjectWrites      Name = "object-writes"
+	ObjectErrors      Name = "object-errors"
 	DocumentsApplied  Name = "documents-applied"
 	DocumentConflicts Name = "document-conflicts"
 	TableBehind       Name = "table-behind"
@@ -133,6 +136,18 @@
 		Name: TableErrors,
 		Help: "operations of the table service that failed, conditions aside",
 	},
+	{
+		Name: ObjectReads,
+		Help: "reads of the object store",
+	},
+	{
+		Name: ObjectWrites,
+		Help: "writes to the object store",
+	},
+	{
+		Name: ObjectErrors,
+		Help: "operations of the object store that failed, missing objects aside",
+	},
 	{
 		Name: DocumentsApplied,
 		Help: "document versions put in force on this node",
@@ -155,7 +170,7 @@
 	},
 	{
 		Name: ClaimsWithdrawn,
-		Help: "claims given up before the request was sent to the endpoint",
+		Help: "claims given up because the request did not run",
 	},
 }
 
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -27,7 +27,9 @@
 	Close []func(ctx context.Context) error
 	// Flush writes what must not be lost, as the outcomes of claims.
 	Flush []func(ctx context.Context) error
-	// Failed is called with each error of Close and Flush; it may be nil.
+	// CloseLast closes the listeners that answer other nodes until Flush has returned.
+	CloseLast []func(ctx context.Context) error
+	// Failed is called with each error of Close, Flush and CloseLast; it may be nil.
 	Failed func(err error)
 
 	draining atomic.Bool
@@ -50,6 +52,7 @@
 	<-announcing.Done()
 	d.all(d.Close)
 	d.all(d.Flush)
+	d.all(d.CloseLast)
 	p.Wait()
 }
 
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -15,7 +15,8 @@
 )
 
 // Guards against an upload that a shutdown or a second SIGTERM cuts, a listener that
-// closes before peers know, and a flush that comes before the work is finished.
+// closes before peers know, a flush that comes before the work is finished, and a
+// listener that closes before the flush.
 func TestDrainWithUpload(t *testing.T) {
 	is := is.New(t)
 	var mu sync.Mutex
@@ -62,6 +63,10 @@
 			event("flush")
 			return nil
 		}},
+		CloseLast: []func(context.Context) error{func(context.Context) error {
+			event("close last")
+			return nil
+		}},
 		Failed: func(err error) { event(err.Error()) },
 	}
 	ended := make(chan struct{})
@@ -77,6 +82,6 @@
 	is.Equal(<-uploaded, "11")
 	<-ended
 	is.Equal(events[:3], []string{"mark", "announce", "served"})
-	is.Equal(slices.Index(events, "flush"), len(events)-1)
-	is.Equal(events[3:], []string{"upload finished", "flush"})
+	is.Equal(slices.Index(events, "flush"), len(events)-2)
+	is.Equal(events[3:], []string{"upload finished", "flush", "close last"})
 }
--- a/internal/forwarder/claim.go
+++ b/internal/forwarder/claim.go
@@ -5,11 +5,13 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/gentianlever/gentianlever/internal/exchanger"
 	"github.com/gentianlever/gentianlever/internal/refuser"
 )
 
@@ -31,6 +33,11 @@
 	Withdraw func(ctx context.Context) error
 	// Finish records the outcome of a dispatched request.
 	Finish func(a Answer)
+	// Lose records that the outcome of a dispatched request is not known.
+	Lose func()
+	// NotRun gives up a claim that was dispatched and whose request did not run, so
+	// that a later request with the key runs.
+	NotRun func(ctx context.Context)
 }
 
 // Answer is a whole response, as it is recorded.
@@ -66,21 +73,46 @@
 		return s.response(r, *answer), nil
 	}
 	c.request.Claimed = true
+	return s.dispatch(ctx, r, c, claim)
+}
+
+// dispatch runs a claimed request. Once it is dispatched, the exchange goes on to its
+// deadline without the caller, so that the outcome is recorded.
+func (s *EndpointSide) dispatch(ctx context.Context, r *http.Request, c *run, claim *Claimed) (*http.Response, error) {
+	running, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.request.Deadline)
+	defer cancel()
+	detach := context.AfterFunc(ctx, func() {
+		// An ended deadline is running's own and keeps its name.
+		if errors.Is(ctx.Err(), context.Canceled) {
+			cancel()
+		}
+	})
+	defer detach()
 	dispatched := false
-	resp, err := s.admitted(ctx, r, c, func() error {
+	resp, err := s.admitted(running, r, c, func() error {
+		if !detach() {
+			return exchangeRefusal(ctx.Err(), &exchanger.NotSentError{
+				Address: s.Endpoint,
+				Cause:   ctx.Err(),
+			}, refuser.EndpointUnreachable, refuser.EndpointFailed)
+		}
 		err := claim.Dispatch()
 		dispatched = err == nil
 		return err
 	})
 	if err == nil {
-		return s.record(ctx, r, claim, resp)
-	}
-	if !dispatched {
-		// The claim is given up even where the caller went away.
-		_ = claim.Withdraw(context.WithoutCancel(ctx))
-		return nil, err
+		return s.record(running, r, claim, resp)
+	}
+	// A claim is given up even where the caller went away.
+	settling := context.WithoutCancel(ctx)
+	switch {
+	case !dispatched:
+		_ = claim.Withdraw(settling)
+	case asRefusal(err).Row().Ran == refuser.NotRun:
+		claim.NotRun(settling)
+	default:
+		claim.Lose()
 	}
-	claim.Finish(refusalAnswer(err))
 	return nil, err
 }
 
@@ -90,7 +122,7 @@
 	_ = resp.Body.Close()
 	if err != nil {
 		refusal := exchangeRefusal(ctx.Err(), err, refuser.EndpointFailed, refuser.EndpointFailed)
-		claim.Finish(refusalAnswer(refusal))
+		claim.Lose()
 		return nil, refusal
 	}
 	h := resp.Header.Clone()
@@ -126,22 +158,6 @@
 	return resp
 }
 
-// refusalAnswer is the recorded outcome of a dispatched request without a response.
-// An endpoint's own shedding is replayed as not run, everything else as unknown.
-func refusalAnswer(err error) Answer {
-	row, _ := refuser.Lookup(refuser.OutcomeUnknown)
-	if refusal := asRefusal(err); refusal.Reason == refuser.EndpointShed {
-		row = refusal.Row()
-	}
-	h := make(http.Header)
-	h.Set(refuser.HeaderRefused, string(row.Reason))
-	h.Set(refuser.HeaderRan, string(row.Ran))
-	return Answer{
-		Status: row.Status,
-		Header: h,
-	}
-}
-
 // digest covers what makes two requests with one key the same.
 func digest(r *http.Request, body []byte) [sha256.Size]byte {
 	h := sha256.New()
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -134,26 +134,19 @@
 }
 
 // ClaimStatus asks the node at an address for the status of a claim.
-func (c *Client) ClaimStatus(ctx context.Context, to netip.AddrPort, service, key string) (string, *RecordedAnswer, error) {
+func (c *Client) ClaimStatus(ctx context.Context, to netip.AddrPort, service, key string) (ClaimStatus, *RecordedAnswer, error) {
 	answer, err := c.to(to).ClaimStatus(ctx, &proto.ClaimStatusRequest{
 		Service: service,
-		Key:     key,
+		Key:     []byte(key),
 	})
 	if err != nil {
-		return "", nil, err
+		return ClaimStatus{}, nil, err
 	}
-	recorded := answer.GetAnswer()
-	if recorded == nil {
-		return answer.GetStatus(), nil, nil
+	status := ClaimStatus{
+		State:       answer.GetState(),
+		Nonce:       answer.GetNonce(),
+		Incarnation: answer.GetIncarnation(),
+		Withdrawn:   answer.GetWithdrawn(),
 	}
-	return answer.GetStatus(), &RecordedAnswer{
-		Status: int(recorded.GetStatus()),
-		Header: convert(recorded.GetHeader(), func(f *proto.HeaderField) HeaderField {
-			return HeaderField{
-				Name:  f.GetName(),
-				Value: f.GetValue(),
-			}
-		}),
-		Body: recorded.GetBody(),
-	}, nil
+	return status, decodeAnswer(answer.GetAnswer()), nil
 }
--- a/internal/messenger/convert.go
+++ b/internal/messenger/convert.go
@@ -95,6 +95,38 @@
 	}
 }
 
+func encodeAnswer(a *RecordedAnswer) *proto.RecordedAnswer {
+	if a == nil {
+		return nil
+	}
+	return &proto.RecordedAnswer{
+		Status: uint32(a.Status),
+		Header: convert(a.Header, func(f HeaderField) *proto.HeaderField {
+			return &proto.HeaderField{
+				Name:  f.Name,
+				Value: []byte(f.Value),
+			}
+		}),
+		Body: a.Body,
+	}
+}
+
+func decodeAnswer(a *proto.RecordedAnswer) *RecordedAnswer {
+	if a == nil {
+		return nil
+	}
+	return &RecordedAnswer{
+		Status: int(a.GetStatus()),
+		Header: convert(a.GetHeader(), func(f *proto.HeaderField) HeaderField {
+			return HeaderField{
+				Name:  f.GetName(),
+				Value: string(f.GetValue()),
+			}
+		}),
+		Body: a.GetBody(),
+	}
+}
+
 func encodeChange(c distributor.Change) *proto.Change {
 	return &proto.Change{
 		Revision:      c.Revision,
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -162,6 +162,24 @@
 func TestServiceAnswersOnlyItsMembers(t *testing.T) {
 	is := is.New(t)
 	const changes = 250
+	// Neither keys nor header values need to be UTF-8.
+	const claimKey = "k\xff"
+	claim := ClaimStatus{
+		State:       "finished",
+		Nonce:       1 << 63,
+		Incarnation: 7,
+		Withdrawn:   []uint64{3, 4},
+	}
+	recorded := &RecordedAnswer{
+		Status: 201,
+		Header: []HeaderField{
+			{
+				Name:  "Receipt",
+				Value: "\xe9",
+			},
+		},
+		Body: []byte{255},
+	}
 	rejected := 0
 	service := &Service{
 		MembershipKey: testKey,
@@ -183,8 +201,10 @@
 			}
 			return all
 		},
-		ClaimStatus: func(context.Context, string, string) (string, *RecordedAnswer, error) {
-			return "done", &RecordedAnswer{Status: 201}, nil
+		ClaimStatus: func(_ context.Context, service, key string) (ClaimStatus, *RecordedAnswer, error) {
+			is.Equal(service, "vault")
+			is.Equal(key, claimKey)
+			return claim, recorded, nil
 		},
 		Rejected: func() { rejected++ },
 	}
@@ -209,10 +229,10 @@
 	is.NoErr(err)
 	is.Equal(len(got), changes-10)
 	is.Equal(got[0].Time, time.Unix(7, 9).UTC())
-	status, recorded, err := client.ClaimStatus(ctx, to, "vault", "k")
+	status, outcome, err := client.ClaimStatus(ctx, to, "vault", claimKey)
 	is.NoErr(err)
-	is.Equal(status, "done")
-	is.Equal(recorded.Status, 201)
+	is.Equal(status, claim)
+	is.Equal(outcome, recorded)
 	stranger := Client{
 		MembershipKey: otherKey,
 		Sent:          func(int) {},
--- a/internal/messenger/service.go
+++ b/internal/messenger/service.go
@@ -41,6 +41,18 @@
 	Body   []byte
 }
 
+// ClaimStatus is what a node knows of a claim of its own.
+type ClaimStatus struct {
+	// State is empty where the node has no claim with the key in memory.
+	State string
+	// Nonce is the version of the row that State speaks of.
+	Nonce uint64
+	// Incarnation is that of the node's start.
+	Incarnation uint64
+	// Withdrawn are the nonces of given-up claims whose row may still show a claim.
+	Withdrawn []uint64
+}
+
 // Service answers other nodes. Set the exported fields before Handler.
 type Service struct {
 	MembershipKey []byte
@@ -49,7 +61,7 @@
 	// Changes returns the changes in force after a revision, in their order.
 	Changes func(since uint64) []distributor.Change
 	// ClaimStatus returns the status of a claim, and its answer if there is one.
-	ClaimStatus func(ctx context.Context, service, key string) (string, *RecordedAnswer, error)
+	ClaimStatus func(ctx context.Context, service, key string) (ClaimStatus, *RecordedAnswer, error)
 	// Rejected counts requests without a valid code.
 	Rejected func()
 }
@@ -127,22 +139,15 @@
 }
 
 func (m *methods) ClaimStatus(ctx context.Context, r *proto.ClaimStatusRequest) (*proto.ClaimStatusResponse, error) {
-	status, recorded, err := m.service.ClaimStatus(ctx, r.GetService(), r.GetKey())
+	status, recorded, err := m.service.ClaimStatus(ctx, r.GetService(), string(r.GetKey()))
 	if err != nil {
 		return nil, err
 	}
-	answer := &proto.ClaimStatusResponse{Status: status}
-	if recorded != nil {
-		answer.Answer = &proto.RecordedAnswer{
-			Status: uint32(recorded.Status),
-			Header: convert(recorded.Header, func(f HeaderField) *proto.HeaderField {
-				return &proto.HeaderField{
-					Name:  f.Name,
-					Value: f.Value,
-				}
-			}),
-			Body: recorded.Body,
-		}
-	}
-	return answer, nil
+	return &proto.ClaimStatusResponse{
+		State:       status.State,
+		Nonce:       status.Nonce,
+		Incarnation: status.Incarnation,
+		Withdrawn:   status.Withdrawn,
+		Answer:      encodeAnswer(recorded),
+	}, nil
 }
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -129,15 +129,10 @@
 			service.ServeHTTP(w, r)
 			return
 		}
-		calls.ServeHTTP(w, r)
+		n.forwarded.serve(calls, w, r)
 	})
 }
 
-// claimStatus knows no claims until the claimer is part of the node.
-func (n *Runner) claimStatus(context.Context, string, string) (string, *messenger.RecordedAnswer, error) {
-	return "unknown", nil, nil
-}
-
 // leave announces the end of the process.
 func (n *Runner) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -57,6 +57,7 @@
 	toNodes    exchanger.Exchanger
 	toEndpoint exchanger.Exchanger
 	control
+	claims
 }
 
 // Run serves until ctx ends and then shuts down gracefully: requests in flight are
@@ -99,10 +100,11 @@
 	n.drainer.Mark = n.admitter.Drain
 	n.drainer.Announce = func(context.Context) { n.announcer.Drain() }
 	n.drainer.Failed = func(err error) { n.Log.Warn("shutdown step failed", "error", err) }
-	admin := listeners[len(listeners)-1]
-	for _, l := range listeners[:len(listeners)-1] {
-		n.drainer.Close = append(n.drainer.Close, l.server.Shutdown)
-	}
+	callers, nodes, admin := listeners[0], listeners[1], listeners[2]
+	n.drainer.Close = []func(context.Context) error{callers.server.Shutdown, n.forwarded.wait}
+	n.drainer.Flush = []func(context.Context) error{n.claimer.Flush}
+	// Other nodes ask for the status of claims until the last one is recorded.
+	n.drainer.CloseLast = []func(context.Context) error{nodes.server.Shutdown}
 	n.drainer.Run()
 	n.toNodes.CloseIdle()
 	n.toEndpoint.CloseIdle()
@@ -146,6 +148,7 @@
 		Incarnation: incarnation,
 	}
 	n.buildControl(incarnation)
+	n.buildClaims(incarnation)
 }
 
 // documentApplied puts the limits of the node's own service in force.
@@ -182,6 +185,7 @@
 		Admitter:  &n.admitter,
 		Exchanger: &n.toEndpoint,
 		Counters:  &n.counters,
+		Claim:     n.claim,
 		Closing:   n.drainer.Draining,
 	}
 	callerSide := &forwarder.CallerSide{
@@ -194,7 +198,7 @@
 		Local:     endpointSide.Run,
 		Closing:   n.drainer.Draining,
 	}
-	// The administration listener is the last one, because it closes last.
+	// shutDown closes the listeners by their position here.
 	bindings := []struct {
 		address string
 		handler http.Handler
