Bound the withdrawal of a claim by its request's deadline

Cause: giving up a claim while the table is slow held the refusal back for up to two operations of 5 s. The recorded header values passed through JSON strings, which replace bytes that are not UTF-8, so a replay could differ from the first response.

Withdraw and NotRun now end with the request's deadline and go on in the background. Header values are recorded as bytes.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -120,8 +120,8 @@
 
 // HeaderField is one header line.
 type HeaderField struct {
-	Name  string `json:"name"`
-	Value string `json:"value"`
+	Name  string
+	Value string
 }
 
 func (a Answer) size() int {
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -16,6 +16,9 @@
 	"github.com/gentianlever/gentianlever/internal/refuser"
 )
 
+// receipt is a header value that is not UTF-8.
+const receipt = "7\xe9"
+
 // dispatch claims the key on node 0 and dispatches it.
 func (s *cluster) dispatch(t *testing.T) *Claim {
 	cl, _, err := s.nodes[0].Claim(context.Background(), request())
@@ -34,7 +37,7 @@
 		Header: []HeaderField{
 			{
 				Name:  "Receipt",
-				Value: "7",
+				Value: receipt,
 			},
 		},
 		Body: bytes.Repeat([]byte{255}, size),
@@ -227,6 +230,9 @@
 				}
 				is.Equal(err != nil, c.reason != "")
 				is.Equal(cl != nil, c.reason == "" && c.size == 0)
+				if answer != nil && len(answer.Header) > 0 {
+					is.Equal(answer.Header[0].Value, receipt)
+				}
 				is.Equal(answer != nil && bytes.Equal(answer.Body, bytes.Repeat([]byte{255}, c.size)), c.size > 0)
 				synctest.Wait()
 				s.table.inject = nil
--- a/internal/claimer/record.go
+++ b/internal/claimer/record.go
@@ -38,6 +38,31 @@
 	Object string `json:"object,omitempty"`
 }
 
+// headerRecord is the encoded form of a HeaderField. The value is bytes, because
+// JSON strings would change values that are not UTF-8.
+type headerRecord struct {
+	Name  string `json:"name"`
+	Value []byte `json:"value"`
+}
+
+// MarshalJSON encodes the field with any bytes in its value.
+func (f HeaderField) MarshalJSON() ([]byte, error) {
+	return json.Marshal(headerRecord{
+		Name:  f.Name,
+		Value: []byte(f.Value),
+	})
+}
+
+// UnmarshalJSON decodes what MarshalJSON encodes.
+func (f *HeaderField) UnmarshalJSON(b []byte) error {
+	var rec headerRecord
+	if err := json.Unmarshal(b, &rec); err != nil {
+		return err
+	}
+	f.Name, f.Value = rec.Name, string(rec.Value)
+	return nil
+}
+
 // rowKey spreads the claims of a service over 256 partitions, so that no partition
 // takes all of its writes. The sort key has a bounded length for any key.
 func rowKey(service, key string) storer.Key {
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -23,7 +23,8 @@
 	// unreachable table or peer delays nothing.
 	Announce func(ctx context.Context)
 	// Close stops accepting on each listener and returns once its requests in flight
-	// are finished. It has no time limit: a long upload is never cut.
+	// are finished; for the listeners of CloseLast it only waits for those requests. It
+	// has no time limit: a long upload is never cut.
 	Close []func(ctx context.Context) error
 	// Flush writes what must not be lost, as the outcomes of claims.
 	Flush []func(ctx context.Context) error
--- a/internal/forwarder/claim.go
+++ b/internal/forwarder/claim.go
@@ -103,8 +103,10 @@
 	if err == nil {
 		return s.record(running, r, claim, resp)
 	}
-	// A claim is given up even where the caller went away.
-	settling := context.WithoutCancel(ctx)
+	// A claim is given up even where the caller went away, and in the background where
+	// the table takes longer than the request has.
+	settling, stop := context.WithDeadline(context.WithoutCancel(ctx), c.request.Deadline)
+	defer stop()
 	switch {
 	case !dispatched:
 		_ = claim.Withdraw(settling)
