Report a large unrecorded answer as running

Cause: an answer of more than 8 MB does not fit the response with the status of a claim. The asking node took the truncated response for an unreachable claimant and refused the key as outcome-unknown, although the outcome was about to be recorded. Routes allow such answers where response-bytes is raised from its default of 1 MB.

The claimant now reports such a claim as running until it is recorded; the asking node waits and reads the outcome from the object store. Ruled out: larger messages, because each is buffered twice for its code.

--- a/internal/messenger/service.go
+++ b/internal/messenger/service.go
@@ -26,6 +26,9 @@
 	pageChanges = 100
 	// maxResponse holds a page and its last document, or a recorded answer.
 	maxResponse = 8 << 20
+	// MaxAnswerBytes is the largest body of a recorded answer that a response with the
+	// status of a claim holds, with its header.
+	MaxAnswerBytes = maxResponse - 1<<20
 )
 
 // HeaderField is one field of a recorded answer's header.
--- a/internal/runner/claims.go
+++ b/internal/runner/claims.go
@@ -117,9 +117,13 @@
 	}, decodeOutcome(recorded), nil
 }
 
-// claimStatus answers other nodes.
+// claimStatus answers other nodes. An answer that is too large for a message counts as
+// running until it is recorded, so that the one who asks waits and then reads it.
 func (n *Runner) claimStatus(_ context.Context, service, key string) (messenger.ClaimStatus, *messenger.RecordedAnswer, error) {
 	status, answer := n.claimer.Status(service, key)
+	if answer != nil && len(answer.Body) > messenger.MaxAnswerBytes {
+		status.State, answer = claimer.Running, nil
+	}
 	return messenger.ClaimStatus{
 		State:       string(status.State),
 		Nonce:       status.Nonce,
--- a/internal/runner/claims_test.go
+++ b/internal/runner/claims_test.go
@@ -5,8 +5,13 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/gentianlever/gentianlever/internal/claimer"
+	"github.com/gentianlever/gentianlever/internal/messenger"
+	"github.com/gentianlever/gentianlever/internal/storer"
 )
 
 // Guards against a flush before a forwarded call has ended, and against a shutdown
@@ -35,3 +40,25 @@
 		close(second)
 	})
 }
+
+// Guards against an answer that exceeds the size of a message, which the asking node
+// would take for an unreachable claimant and so for an unknown outcome.
+func TestStatusOfALargeAnswer(t *testing.T) {
+	is := is.New(t)
+	for _, size := range []int{messenger.MaxAnswerBytes, messenger.MaxAnswerBytes + 1} {
+		n := &Runner{}
+		n.claimer.Table.Write = func(context.Context, []storer.Write) error { return nil }
+		n.claimer.Objects.Put = func(context.Context, string, []byte) error { return &storer.UnknownError{} }
+		cl, _, err := n.claimer.Claim(context.Background(), claimer.Request{
+			Key:      "k",
+			Deadline: time.Now().Add(time.Minute),
+		})
+		is.NoErr(err)
+		is.NoErr(cl.Dispatch())
+		cl.Finish(claimer.Answer{Body: make([]byte, size)})
+		status, answer, err := n.claimStatus(context.Background(), "", "k")
+		is.NoErr(err)
+		is.Equal(status.State == string(claimer.Finished), size == messenger.MaxAnswerBytes)
+		is.Equal(answer != nil, size == messenger.MaxAnswerBytes)
+	}
+}
