--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -23,11 +23,14 @@
 	// unreachable table or peer delays nothing.
 	Announce func(ctx context.Context)
 	// Close stops accepting on each listener and returns once its requests in flight
-	// are finished. It has no time limit: a long upload is never cut.
+	// are finished; for the listeners of CloseLast it only waits for those requests. It
+	// has no time limit: a long upload is never cut.
 	Close []func(ctx context.Context) error
 	// Flush writes what must not be lost, as the outcomes of claims.
 	Flush []func(ctx context.Context) error
-	// Failed is called with each error of Close and Flush; it may be nil.
+	// CloseLast closes the listeners that answer other nodes until Flush has returned.
+	CloseLast []func(ctx context.Context) error
+	// Failed is called with each error of Close, Flush and CloseLast; it may be nil.
 	Failed func(err error)
 
 	draining atomic.Bool
@@ -50,6 +53,7 @@
 	<-announcing.Done()
 	d.all(d.Close)
 	d.all(d.Flush)
+	d.all(d.CloseLast)
 	p.Wait()
 }
 
--- /dev/null
+++ b/internal/runner/claims_test.go
@@ -0,0 +1,64 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianlever/gentianlever/internal/claimer"
+	"github.com/gentianlever/gentianlever/internal/messenger"
+	"github.com/gentianlever/gentianlever/internal/storer"
+)
+
+// Guards against a flush before a forwarded call has ended, and against a shutdown
+// that refused calls delay.
+func TestWaitForForwardedCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var f inFlight
+		first, second := make(chan struct{}), make(chan struct{})
+		serve := func(end chan struct{}) {
+			f.serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-end }), nil, nil)
+		}
+		go serve(first)
+		synctest.Wait()
+		ended := false
+		go func() {
+			ended = f.wait(context.Background()) == nil
+		}()
+		synctest.Wait()
+		go serve(second)
+		synctest.Wait()
+		is.True(!ended)
+		close(first)
+		synctest.Wait()
+		is.True(ended)
+		close(second)
+	})
+}
+
+// Guards against an answer that exceeds the size of a message, which the asking node
+// would take for an unreachable claimant and so for an unknown outcome.
+func TestStatusOfALargeAnswer(t *testing.T) {
+	is := is.New(t)
+	for _, size := range []int{messenger.MaxAnswerBytes, messenger.MaxAnswerBytes + 1} {
+		n := &Runner{}
+		n.claimer.Table.Write = func(context.Context, []storer.Write) error { return nil }
+		n.claimer.Objects.Put = func(context.Context, string, []byte) error { return &storer.UnknownError{} }
+		cl, _, err := n.claimer.Claim(context.Background(), claimer.Request{
+			Key:      "k",
+			Deadline: time.Now().Add(time.Minute),
+		})
+		is.NoErr(err)
+		is.NoErr(cl.Dispatch())
+		cl.Finish(claimer.Answer{Body: make([]byte, size)})
+		status, answer, err := n.claimStatus(context.Background(), "", "k")
+		is.NoErr(err)
+		is.Equal(status.State == string(claimer.Finished), size == messenger.MaxAnswerBytes)
+		is.Equal(answer != nil, size == messenger.MaxAnswerBytes)
+	}
+}
