Retry, move and hedge calls through the retrier

Cause: the caller side decided on retries by the refusal table alone, without a budget, sent no second copies and did not tell the next node that a request is a retry.

CallerSide has a Retrier in place of three function fields. The first copy stays on the goroutine of the request and a timer starts the second one, so a call without a second copy has no handoff between goroutines. The winner cancels the other copy; a call is refused only after both copies have ended, because otherwise a copy could run after a refusal as not run. A second copy's response of status 500 or above does not win, so an endpoint that fails fast does not hide one that works. Gentianlever-Retried marks retries and second copies, but not moves, up to the endpoint and back from its own calls. The counter of retry decisions has a label for each reason, and the reference page lists them.

Ruled out: a separate context for the first copy, which would cost an allocation in every call; second copies for each attempt instead of each call.

Conclusion: tests of forwarder, retrier, runner and documenter pass with -race.

--- a/internal/documenter/documenter.go
+++ b/internal/documenter/documenter.go
@@ -9,6 +9,7 @@
 
 	"github.com/gentianlever/gentianlever/internal/counter"
 	"github.com/gentianlever/gentianlever/internal/refuser"
+	"github.com/gentianlever/gentianlever/internal/retrier"
 	"github.com/gentianlever/gentianlever/internal/validator"
 )
 
@@ -34,7 +35,7 @@
 }
 
 func tables() []table {
-	result := []table{refusals(), counters()}
+	result := []table{refusals(), retries(), counters()}
 	result = append(result, fields("Document", validator.DocumentSections())...)
 	return append(result, fields("Settings", validator.SettingsSections())...)
 }
@@ -51,6 +52,22 @@
 	return t
 }
 
+func retries() table {
+	t := table{
+		title:  "Retry reasons",
+		intro:  "The counter `" + string(counter.Retried) + "` has the reason of each decision after a failed attempt as its label.",
+		header: []string{"reason", "another attempt", "meaning"},
+	}
+	for _, r := range retrier.Table {
+		again := "no"
+		if r.Again {
+			again = "yes"
+		}
+		t.rows = append(t.rows, []string{"`" + string(r.Reason) + "`", again, r.Help})
+	}
+	return t
+}
+
 func counters() table {
 	t := table{
 		title:  "Counters",
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -13,33 +13,51 @@
 	"github.com/gentianlever/gentianlever/internal/reporter"
 )
 
-// Response is the response of one attempt. Its first bytes are read already.
-type Response struct {
+// response is the response of one attempt. Its first bytes are read already.
+type response struct {
 	*prefetched
 	attempt *picker.Attempt
 	done    atomic.Bool
 }
 
-// Discard ends a response that is not used, as that of the slower of two copies.
-func (p *Response) Discard() {
-	p.prefetched.close()
-	p.end(picker.Cancelled)
+// discard ends a response that is not used, as that of the slower of two copies.
+func (p *response) discard(o picker.Outcome) {
+	p.close()
+	p.end(o)
 }
 
-func (p *Response) end(o picker.Outcome) {
+func (p *response) end(o picker.Outcome) {
 	if !p.done.Swap(true) {
 		p.attempt.Done(o)
 	}
 }
 
+// firstCopy makes an attempt on the goroutine of the request. Its time counts up to its
+// end even where a second copy was faster, because the estimate would otherwise only see
+// the fast ones.
+func (s *CallerSide) firstCopy(ctx context.Context, r *http.Request, c *call) (*response, error) {
+	started := time.Now()
+	resp, err := s.attempt(ctx, r, c, false)
+	if !c.Long && (err == nil || ctx.Err() != nil) {
+		s.Retrier.Observe(c.Service, time.Since(started))
+	}
+	return resp, err
+}
+
 // attempt sends the call to one endpoint's node and reads the first bytes of the
 // response.
-func (s *CallerSide) attempt(ctx context.Context, r *http.Request, c *call, hedge bool) (*Response, error) {
+func (s *CallerSide) attempt(ctx context.Context, r *http.Request, c *call, hedge bool) (*response, error) {
 	a, number, err := s.pick(c)
 	if err != nil {
 		return nil, err
 	}
 	s.Counters.Add(counter.NodeTries, 1)
+	if hedge {
+		s.Counters.Add(counter.HedgesSent, 1)
+	}
+	if hedge || !s.Retrier.MayMove(&c.Call) {
+		a.LeastLoad = -1
+	}
 	resp, err := s.send(ctx, r, c, a, number, hedge)
 	if err != nil {
 		refusal := asRefusal(err)
@@ -47,14 +65,12 @@
 			a.Report(refusal.Load)
 		}
 		if refusal.Row().Ran != refuser.NotRun {
-			c.mu.Lock()
-			c.unknown = true
-			c.mu.Unlock()
+			c.setUnknown()
 		}
 		a.Done(outcomeOf(refusal))
 		return nil, refusal
 	}
-	return &Response{
+	return &response{
 		prefetched: resp,
 		attempt:    a,
 	}, nil
@@ -102,9 +118,12 @@
 	h[headerNode] = []string{s.NodeToken}
 	h[headerDepth] = []string{strconv.Itoa(c.Depth)}
 	h[headerAttempt] = []string{attempt}
+	if hedge || c.marked {
+		h[headerRetried] = []string{"1"}
+	}
 	h[headerLeastLoad] = []string{strconv.FormatFloat(a.LeastLoad, 'f', 3, 64)}
 	setMicroseconds(h, headerTimeout, max(0, time.Until(c.Deadline)))
-	setMicroseconds(h, headerAge, time.Since(c.Arrival))
+	setMicroseconds(h, headerAge, time.Since(c.arrival))
 	if c.body.streamed() {
 		// A refused upload has then not sent its body.
 		h["Expect"] = []string{"100-continue"}
@@ -125,7 +144,7 @@
 }
 
 // respond copies a response to the caller.
-func (s *CallerSide) respond(w http.ResponseWriter, r *http.Request, c *call, resp *Response) {
+func (s *CallerSide) respond(w http.ResponseWriter, r *http.Request, c *call, resp *response) {
 	defer resp.close()
 	h := w.Header()
 	strip(resp.Header)
@@ -148,7 +167,4 @@
 		// Ends the connection abnormally, so that the response never seems complete.
 		panic(http.ErrAbortHandler)
 	}
-	if s.Observed != nil {
-		s.Observed(c.snapshot(), time.Since(c.Arrival))
-	}
 }
--- a/internal/forwarder/callerside.go
+++ b/internal/forwarder/callerside.go
@@ -14,24 +14,10 @@
 	"github.com/gentianlever/gentianlever/internal/exchanger"
 	"github.com/gentianlever/gentianlever/internal/picker"
 	"github.com/gentianlever/gentianlever/internal/refuser"
+	"github.com/gentianlever/gentianlever/internal/retrier"
 	"github.com/gentianlever/gentianlever/internal/validator"
 )
 
-// Call is what the function fields learn of a call.
-type Call struct {
-	Service string
-	Route   *validator.Route
-	// Arrival is the time at which the call reached its first node.
-	Arrival  time.Time
-	Deadline time.Time
-	// Depth is the number of nodes' caller sides passed, this one included.
-	Depth int
-	// Attempts is the number of attempts made.
-	Attempts int
-	// Streamed says that the request's body is too large to be sent twice.
-	Streamed bool
-}
-
 // CallerSide serves calls of callers and of the local endpoint. Set the exported
 // fields before use.
 type CallerSide struct {
@@ -41,33 +27,30 @@
 	Picker    *picker.Picker
 	Exchanger *exchanger.Exchanger
 	Counters  *counter.Counters
+	// Retrier decides on retries, moves and second copies.
+	Retrier *retrier.Retrier
 	// Self is the address at which this node serves other nodes, and Local runs a
 	// call at its own endpoint without a network hop; nil sends it over the network.
 	Self  netip.AddrPort
 	Local func(ctx context.Context, r *http.Request, body Body) (*http.Response, error)
-	// Retry reports whether a failed call is tried again, and why. It is asked only
-	// where the body can be sent again and time is left. nil follows the refusal
-	// table and the route's repeatable.
-	Retry func(c Call, err error) (bool, string)
-	// Hedge runs try, once or more, and returns one of its responses; it closes the
-	// bodies of the others. It is asked only where the body is buffered. nil runs
-	// try once.
-	Hedge func(ctx context.Context, c Call, try Try) (*Response, error)
-	// Observed is called after each complete response; it may be nil.
-	Observed func(c Call, latency time.Duration)
 	// Closing reports that callers should close their connections; it may be nil.
 	Closing func() bool
 }
 
-// Try makes one attempt of a call. Errors are *refuser.Refusal.
-type Try func(ctx context.Context, hedge bool) (*Response, error)
-
 // call is one call in progress.
 type call struct {
-	Call
-	body *requestBody
-
-	mu    sync.Mutex
+	// Call is used by the goroutine of the request alone.
+	retrier.Call
+	route *validator.Route
+	// arrival is the time at which the call reached this node.
+	arrival time.Time
+	body    *requestBody
+	// marked says that the next attempt may repeat an execution or a retry. It is used
+	// by the goroutine of the request alone.
+	marked bool
+
+	mu sync.Mutex
+	// tried are the endpoints of all attempts so far.
 	tried []string
 	// unknown says that an attempt ended so that the request may have run.
 	unknown bool
@@ -87,13 +70,12 @@
 	defer c.body.finish()
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
-	resp, err := s.run(ctx, r, c)
+	h := s.startHedge(r, c, cancel)
+	defer h.end()
+	resp, err := s.run(ctx, r, c, h)
 	if err != nil {
 		refusal := *asRefusal(err)
-		c.mu.Lock()
-		unknown := c.unknown
-		c.mu.Unlock()
-		if unknown {
+		if c.mayHaveRun() {
 			refusal.Ran = refuser.RanUnknown
 		}
 		c.body.finish()
@@ -104,28 +86,23 @@
 	s.respond(w, r, c, resp)
 }
 
-// run makes attempts until one ends in a response or no other is allowed.
-func (s *CallerSide) run(ctx context.Context, r *http.Request, c *call) (*Response, error) {
-	try := func(ctx context.Context, hedge bool) (*Response, error) { return s.attempt(ctx, r, c, hedge) }
-	var last error
+// run makes attempts until one ends in a response or no other is allowed. All copies
+// that may still run at an endpoint have ended when it returns an error.
+func (s *CallerSide) run(ctx context.Context, r *http.Request, c *call, h *hedge) (*response, error) {
+	var last *refuser.Refusal
 	for {
-		var resp *Response
-		var err error
-		if s.Hedge != nil && !c.body.streamed() {
-			resp, err = s.Hedge(ctx, c.snapshot(), try)
-		} else {
-			resp, err = try(ctx, false)
-		}
+		resp, err := s.firstCopy(ctx, r, c)
+		resp, err = h.settle(resp, err)
 		if err == nil {
 			return resp, nil
 		}
 		refusal := asRefusal(err)
 		if refusal.Reason == refuser.NoEndpoint && last != nil {
-			return nil, last
+			return h.last(last)
 		}
 		last = refusal
 		if ctx.Err() != nil || !c.body.replayable() || !s.retry(c, refusal) {
-			return nil, refusal
+			return h.last(refusal)
 		}
 	}
 }
@@ -154,12 +131,16 @@
 		return nil, &refuser.Refusal{Reason: refuser.UnknownRoute}
 	}
 	c := &call{
-		Call: Call{
-			Service: d.Service,
-			Route:   route,
-			Arrival: time.Now(),
+		Call: retrier.Call{
+			Service:    d.Service,
+			Repeatable: route.Repeatable,
+			Long:       route.Class == validator.Long,
+			Retried:    r.Header.Get(headerRetried) != "",
 		},
+		route:   route,
+		arrival: time.Now(),
 	}
+	c.marked = c.Retried
 	if err := c.readHeader(r.Header); err != nil {
 		return nil, err
 	}
@@ -171,13 +152,13 @@
 	if err != nil {
 		return nil, err
 	}
-	c.Streamed = c.body.streamed()
+	s.Retrier.Begin(&c.Call)
 	return c, nil
 }
 
 // readHeader validates the headers that callers may set.
 func (c *call) readHeader(h http.Header) error {
-	timeout := c.Route.Timeout
+	timeout := c.route.Timeout
 	if h.Get(headerTimeout) != "" {
 		left, ok := microseconds(h, headerTimeout)
 		if !ok {
@@ -185,7 +166,7 @@
 		}
 		timeout = min(timeout, left)
 	}
-	c.Deadline = c.Arrival.Add(timeout)
+	c.Deadline = c.arrival.Add(timeout)
 	if value := h.Get(headerDepth); value != "" {
 		depth, err := strconv.ParseUint(value, 10, 31)
 		if err != nil {
@@ -207,44 +188,58 @@
 	}
 }
 
-func (c *call) snapshot() Call {
+// pick chooses an endpoint that this call has not tried.
+func (s *CallerSide) pick(c *call) (*picker.Attempt, int, error) {
+	for {
+		c.mu.Lock()
+		tried := slices.Clone(c.tried)
+		c.mu.Unlock()
+		a, err := s.Picker.Pick(picker.Request{
+			Service:  c.Service,
+			Excluded: tried,
+			Long:     c.Long,
+		})
+		if err != nil {
+			return nil, 0, err
+		}
+		if number, ok := c.try(a.Endpoint.ID); ok {
+			return a, number, nil
+		}
+		a.Done(picker.Cancelled)
+	}
+}
+
+// try adds an endpoint to those tried and returns the number of the attempt. It returns
+// false where the call's other copy has taken the same endpoint since it was chosen.
+func (c *call) try(endpoint string) (int, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.Call
+	if slices.Contains(c.tried, endpoint) {
+		return 0, false
+	}
+	c.tried = append(c.tried, endpoint)
+	return len(c.tried), true
 }
 
-// pick chooses an endpoint that this call has not tried.
-func (s *CallerSide) pick(c *call) (*picker.Attempt, int, error) {
+// setUnknown records that an attempt may have run.
+func (c *call) setUnknown() {
 	c.mu.Lock()
-	tried := slices.Clone(c.tried)
-	c.mu.Unlock()
-	a, err := s.Picker.Pick(picker.Request{
-		Service:  c.Service,
-		Excluded: tried,
-		Long:     c.Route.Class == validator.Long,
-	})
-	if err != nil {
-		return nil, 0, err
-	}
+	defer c.mu.Unlock()
+	c.unknown = true
+}
+
+func (c *call) mayHaveRun() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tried = append(c.tried, a.Endpoint.ID)
-	c.Attempts++
-	return a, c.Attempts, nil
+	return c.unknown
 }
 
 // retry reports whether another endpoint is tried.
 func (s *CallerSide) retry(c *call, refusal *refuser.Refusal) bool {
-	row := refusal.Row()
-	again, reason := false, string(row.Reason)
-	if s.Retry != nil {
-		again, reason = s.Retry(c.snapshot(), refusal)
-	} else {
-		again = row.Retry == refuser.RetryElsewhere && row.Ran == refuser.NotRun ||
-			row.Retry != refuser.RetryNever && c.Route.Repeatable
-	}
-	if again {
-		s.Counters.AddLabelled(counter.Retried, reason)
+	again, reason := s.Retrier.Retry(&c.Call, refusal)
+	s.Counters.AddLabelled(counter.Retried, string(reason))
+	if again && reason != retrier.Moved {
+		c.marked = true
 	}
 	return again
 }
--- a/internal/forwarder/endpointside.go
+++ b/internal/forwarder/endpointside.go
@@ -232,7 +232,7 @@
 
 // send sends the call to the endpoint and sorts out responses that are refusals.
 func (s *EndpointSide) send(ctx context.Context, r *http.Request, c *run, ready func() error) (*http.Response, error) {
-	h := forwarded(r.Header, headerService, headerTimeout, headerDepth)
+	h := forwarded(r.Header, headerService, headerTimeout, headerDepth, headerRetried)
 	out := outgoing(r, h, c.body)
 	setMicroseconds(h, headerTimeout, max(0, time.Until(c.request.Deadline)))
 	s.Counters.Add(counter.EndpointRuns, 1)
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/gentianlever/gentianlever/internal/counter"
 	"github.com/gentianlever/gentianlever/internal/exchanger"
 	"github.com/gentianlever/gentianlever/internal/picker"
+	"github.com/gentianlever/gentianlever/internal/retrier"
 	"github.com/gentianlever/gentianlever/internal/validator"
 )
 
@@ -102,6 +103,10 @@
 		Picker:    p,
 		Exchanger: newExchanger(),
 		Counters:  &s.counters,
+		Retrier: &retrier.Retrier{
+			NoHedging: true,
+			NoBudget:  true,
+		},
 	}
 	s.server = httptest.NewServer(s.caller)
 	t.Cleanup(s.server.Close)
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -27,6 +27,7 @@
 	headerLeastLoad = "Gentianlever-Least-Load"
 	headerAge       = "Gentianlever-Age"
 	headerAttempt   = "Gentianlever-Attempt"
+	headerRetried   = "Gentianlever-Retried"
 	headerNode      = "Gentianlever-Node"
 	headerLoad      = reporter.Header
 	headerDetail    = "Gentianlever-Detail"
--- a/internal/forwarder/upload_test.go
+++ b/internal/forwarder/upload_test.go
@@ -57,7 +57,6 @@
 		n, _ := io.Copy(io.Discard, r.Body)
 		_, _ = fmt.Fprint(w, n)
 	}))
-	s.caller.Retry = func(Call, error) (bool, string) { return true, "test" }
 	known := []picker.Endpoint{
 		{ID: "good", Service: "proofs", Address: s.nodes[0].address},
 		{ID: "broken", Service: "proofs", Address: broken},
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -57,6 +57,7 @@
 	toNodes    exchanger.Exchanger
 	toEndpoint exchanger.Exchanger
 	control
+	calls
 }
 
 // Run serves until ctx ends and then shuts down gracefully: requests in flight are
@@ -126,6 +127,7 @@
 
 func (n *Runner) build() {
 	s := n.Settings
+	n.counters.RetryReasons = retryReasons()
 	n.counters.Open()
 	n.drainer.Period = drainer.DefaultPeriod
 	for _, e := range []*exchanger.Exchanger{&n.toNodes, &n.toEndpoint} {
@@ -184,16 +186,7 @@
 		Counters:  &n.counters,
 		Closing:   n.drainer.Draining,
 	}
-	callerSide := &forwarder.CallerSide{
-		NodeToken: token,
-		Document:  n.distributor.Document,
-		Picker:    &n.picker,
-		Exchanger: &n.toNodes,
-		Counters:  &n.counters,
-		Self:      s.NodesAddress,
-		Local:     endpointSide.Run,
-		Closing:   n.drainer.Draining,
-	}
+	callerSide := n.callerSide(endpointSide)
 	// The administration listener is the last one, because it closes last.
 	bindings := []struct {
 		address string
