--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -58,6 +58,7 @@
 	toEndpoint exchanger.Exchanger
 	control
 	claims
+	calls
 }
 
 // Run serves until ctx ends and then shuts down gracefully: requests in flight are
@@ -128,6 +129,7 @@
 
 func (n *Runner) build() {
 	s := n.Settings
+	n.counters.RetryReasons = retryReasons()
 	n.counters.Open()
 	n.drainer.Period = drainer.DefaultPeriod
 	for _, e := range []*exchanger.Exchanger{&n.toNodes, &n.toEndpoint} {
@@ -188,16 +190,7 @@
 		Claim:     n.claim,
 		Closing:   n.drainer.Draining,
 	}
-	callerSide := &forwarder.CallerSide{
-		NodeToken: token,
-		Document:  n.distributor.Document,
-		Picker:    &n.picker,
-		Exchanger: &n.toNodes,
-		Counters:  &n.counters,
-		Self:      s.NodesAddress,
-		Local:     endpointSide.Run,
-		Closing:   n.drainer.Draining,
-	}
+	callerSide := n.callerSide(endpointSide)
 	// shutDown closes the listeners by their position here.
 	bindings := []struct {
 		address string
