Wire limiter, prober and quarantine into the node

Cause: no node used the limiter, the prober or the quarantine.

- The endpoint side reports Begin, Ended and Broke.
A refusal after a break carries Gentianlever-Retry: never, which overrides the refusal table.
- quarantined is retried elsewhere while a trial endpoint may run the request, and never after two crashes.

Ruled out: clearing a suspect by the next health probe alone. The budget pays for the first probe after 1.2 s, and an endpoint that restarts within that time looks healthy. A refused connection right after the break therefore confirms the crash.

TestRanAcrossAttempts let its Broke hook only count. Broke now also decides on the retry, and the hook returns true, so the retry that the test guards still happens.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -200,6 +200,13 @@
 	}
 }
 
+// Resume takes new work again after Drain.
+func (a *Admitter) Resume() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.draining = false
+}
+
 // Load returns the endpoint's load. Its slots are the adaptive limit where that is
 // below the document's slots.
 func (a *Admitter) Load() reporter.Load {
--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -28,10 +28,10 @@
 	// carry one update.
 	retransmitFactor = 4
 	// maxUpdates and maxSuspects keep a message below 1,200 bytes: a member takes
-	// about 110 bytes and a fingerprint 32.
+	// about 110 bytes and a suspect with two crashes about 200.
 	maxUpdates      = 6
-	maxSuspects     = 4
-	maxSuspectBytes = 32
+	maxSuspects     = 1
+	maxSuspectBytes = 256
 	// noticeFanout members learn of a new revision at once. Each of them notifies as
 	// many, which reaches 95% of the members; pings reach the others.
 	noticeFanout = 3
@@ -71,10 +71,10 @@
 	Revision func() uint64
 	// Newer is called when a member has a higher revision. It must not block.
 	Newer func(from Member, revision uint64)
-	// Suspects returns fingerprints to send. The first 4 of at most 32 bytes are used.
+	// Suspects returns encoded suspects to send. The first of at most 256 bytes is used.
 	Suspects func() [][]byte
-	// SuspectsReceived is called with the fingerprints of a message.
-	SuspectsReceived func(fingerprints [][]byte)
+	// SuspectsReceived is called with the suspects of a message.
+	SuspectsReceived func(suspects [][]byte)
 
 	// DisableRefutation and DisableFailedSync switch a mechanism off. Tests show
 	// with them that the mechanism is needed.
@@ -205,6 +205,12 @@
 	a.notify(leaveFanout)
 }
 
+// Resume announces that this node takes new requests again.
+func (a *Announcer) Resume() {
+	a.revise(func(m *Member) { m.Draining = false })
+	a.notify(leaveFanout)
+}
+
 // Notify tells a few random members the current revision at once.
 func (a *Announcer) Notify(uint64) { a.notify(noticeFanout) }
 
@@ -263,9 +269,9 @@
 	if a.Suspects == nil {
 		return revision, nil
 	}
-	for _, fingerprint := range a.Suspects() {
-		if len(suspects) < maxSuspects && len(fingerprint) <= maxSuspectBytes {
-			suspects = append(suspects, fingerprint)
+	for _, suspect := range a.Suspects() {
+		if len(suspects) < maxSuspects && len(suspect) <= maxSuspectBytes {
+			suspects = append(suspects, suspect)
 		}
 	}
 	return revision, suspects
--- a/internal/announcer/message.go
+++ b/internal/announcer/message.go
@@ -27,7 +27,7 @@
 	// Revision is the head revision of the sender's documents.
 	Revision uint64
 	Updates  []Member
-	// Suspects are opaque fingerprints of requests that crash endpoints.
+	// Suspects are encoded records of requests that crash endpoints.
 	Suspects [][]byte
 }
 
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -99,6 +99,20 @@
 	return resp, nil
 }
 
+// Connect checks that connections to an address are accepted, and keeps the one that it
+// uses for a later request. Errors are *ConnectError.
+func (e *Exchanger) Connect(ctx context.Context, to netip.AddrPort) error {
+	c, err := e.take(ctx, to)
+	if err != nil {
+		return &ConnectError{
+			Address: to,
+			Cause:   err,
+		}
+	}
+	e.put(c)
+	return nil
+}
+
 // exchange is one request and its response on a connection.
 type exchange struct {
 	e *Exchanger
--- a/internal/forwarder/endpointside.go
+++ b/internal/forwarder/endpointside.go
@@ -43,14 +43,18 @@
 	Admitter  *admitter.Admitter
 	Exchanger *exchanger.Exchanger
 	Counters  *counter.Counters
-	// Quarantined returns the refusal of a quarantined request; it may be nil.
+	// Quarantined returns the refusal that Begin would return now; it may be nil.
 	Quarantined func(fingerprint string) error
-	// Broke is called after the endpoint broke the connection of a request; it may
+	// Begin is called when a request has its slot. Its error, a *refuser.Refusal, keeps
+	// the request from the endpoint. nil admits every request.
+	Begin func(fingerprint string) error
+	// Ended is called once after each Begin without an error unless Broke is; it may
 	// be nil.
-	Broke func(fingerprint string)
-	// Responded is called after each complete response as evidence of the
-	// endpoint's health; it may be nil.
-	Responded func(status int)
+	Ended func(e Ended)
+	// Broke is called after the endpoint broke the connection of a request, before the
+	// caller side learns of it. It reports whether the request may be tried again. nil
+	// leaves that to the refusal table.
+	Broke func(fingerprint string) (retry bool)
 	// Claim claims an at-most-once request. Exactly one result is set. nil runs
 	// such requests without a claim.
 	Claim func(ctx context.Context, r ClaimRequest) (*Claimed, *Answer, error)
@@ -58,6 +62,26 @@
 	Closing func() bool
 }
 
+// Ended is how a request ended at the endpoint without a broken connection.
+type Ended struct {
+	Fingerprint string
+	Route       string
+	Long        bool
+	// Service is the time for which the request held its slot.
+	Service time.Duration
+	// Status is that of the response; zero where there is none.
+	Status int
+	// Complete says that the response was received whole.
+	Complete bool
+	// Draining says that the response's header reports that the endpoint is draining.
+	Draining bool
+}
+
+// Failed reports whether the endpoint failed or the request was given up.
+func (e Ended) Failed() bool {
+	return !e.Complete || e.Status >= http.StatusInternalServerError
+}
+
 // run is one call at the endpoint side.
 type run struct {
 	request     admitter.Request
@@ -186,7 +210,7 @@
 
 // exchange admits a call and sends it to the endpoint.
 func (s *EndpointSide) exchange(ctx context.Context, r *http.Request, c *run) (*http.Response, error) {
-	if s.Quarantined != nil || s.Broke != nil {
+	if s.Quarantined != nil || s.Begin != nil || s.Broke != nil {
 		c.fingerprint = fingerprint(r, c)
 	}
 	if s.Quarantined != nil {
@@ -208,14 +232,19 @@
 	if err != nil {
 		return nil, err
 	}
-	h := s.holder(ticket)
+	if s.Begin != nil {
+		if err := s.Begin(c.fingerprint); err != nil {
+			ticket.Done(0, false)
+			return nil, err
+		}
+	}
+	h := s.holder(ctx, ticket, c)
 	resp, err := s.send(ctx, r, c, ready)
 	if err != nil {
-		h.end(false)
-		return nil, err
+		return nil, h.failed(err)
 	}
 	h.status = resp.StatusCode
-	h.broke = func() { s.broke(ctx, c) }
+	h.draining = ReportsDraining(resp.Header)
 	strip(resp.Header)
 	if resp.Body == http.NoBody {
 		h.end(true)
@@ -242,11 +271,7 @@
 		if errors.As(err, &refusal) {
 			return nil, refusal
 		}
-		refusal = exchangeRefusal(ctx.Err(), err, refuser.EndpointUnreachable, refuser.EndpointFailed)
-		if refusal.Reason == refuser.EndpointFailed {
-			s.broke(ctx, c)
-		}
-		return nil, refusal
+		return nil, exchangeRefusal(ctx.Err(), err, refuser.EndpointUnreachable, refuser.EndpointFailed)
 	}
 	if slices.Contains(c.document.ShedStatuses, resp.StatusCode) {
 		return nil, shed(resp)
@@ -258,12 +283,6 @@
 	return resp, nil
 }
 
-func (s *EndpointSide) broke(ctx context.Context, c *run) {
-	if s.Broke != nil && ctx.Err() == nil {
-		s.Broke(c.fingerprint)
-	}
-}
-
 // shed makes the refusal of a response by which the endpoint says that it did not run
 // the request.
 func shed(resp *http.Response) error {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -186,7 +186,7 @@
 	broken := rawEndpoint(t, func(c net.Conn) { _, _ = http.ReadRequest(bufio.NewReader(c)) })
 	s := start(t, broken, broken)
 	var runs atomic.Int64
-	s.nodes[0].side.Broke = func(string) { runs.Add(1) }
+	s.nodes[0].side.Broke = func(string) bool { return runs.Add(1) > 0 }
 	s.nodes[1].side.Admitter.Drain()
 	for range 10 {
 		runs.Store(0)
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -150,6 +150,9 @@
 	h := w.Header()
 	h.Set(refuser.HeaderRefused, string(row.Reason))
 	h.Set(refuser.HeaderRan, string(row.Ran))
+	if refusal.NoRetry {
+		h.Set(refuser.HeaderRetry, string(refuser.RetryNever))
+	}
 	if refusal.Detail != "" {
 		h.Set(headerDetail, printable(refusal.Detail))
 	}
@@ -194,9 +197,10 @@
 		ran = refuser.NotRun
 	}
 	refusal := &refuser.Refusal{
-		Reason: refuser.Reason(reason),
-		Ran:    ran,
-		Detail: resp.Header.Get(headerDetail),
+		Reason:  refuser.Reason(reason),
+		Ran:     ran,
+		NoRetry: resp.Header.Get(refuser.HeaderRetry) == string(refuser.RetryNever),
+		Detail:  resp.Header.Get(headerDetail),
 	}
 	if seconds, err := strconv.ParseUint(resp.Header.Get("Retry-After"), 10, 31); err == nil {
 		refusal.Hint = time.Duration(seconds) * time.Second
--- a/internal/forwarder/requestbody.go
+++ b/internal/forwarder/requestbody.go
@@ -224,6 +224,8 @@
 		Ran:    refuser.RanUnknown,
 		Detail: err.Error(),
 	}
+	var broken *brokenError
+	refusal.NoRetry = errors.As(err, &broken) && broken.noRetry
 	var large *tooLargeError
 	switch {
 	case errors.As(err, &large):
--- a/internal/messenger/service.go
+++ b/internal/messenger/service.go
@@ -12,6 +12,7 @@
 	"github.com/gentianlever/gentianlever/internal/announcer"
 	"github.com/gentianlever/gentianlever/internal/distributor"
 	"github.com/gentianlever/gentianlever/internal/messenger/proto"
+	"github.com/gentianlever/gentianlever/internal/quarantiner"
 )
 
 // headerCode carries the authentication code of a request's and an answer's body.
@@ -50,6 +51,8 @@
 	Changes func(since uint64) []distributor.Change
 	// ClaimStatus returns the status of a claim, and its answer if there is one.
 	ClaimStatus func(ctx context.Context, service, key string) (string, *RecordedAnswer, error)
+	// Suspects merges suspects of another node.
+	Suspects func(suspects []quarantiner.Suspect)
 	// Rejected counts requests without a valid code.
 	Rejected func()
 }
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -80,6 +80,22 @@
 	}
 }
 
+// SetBudget changes Budget and Cost, as after a change of the document. Savings above
+// the new ceiling, or all without a budget, are given up.
+func (p *Prober) SetBudget(budget float64, cost time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.credited.IsZero() {
+		p.accrue(time.Now())
+	}
+	p.Budget = budget
+	p.Cost = cost
+	p.credit = min(p.credit, p.ceiling())
+	if budget <= 0 {
+		p.credit = 0
+	}
+}
+
 // Evidence records a complete response of the endpoint, which shows that it is healthy.
 func (p *Prober) Evidence() {
 	p.mu.Lock()
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -154,7 +154,9 @@
 	case len(active) == 0:
 		return nil
 	case len(active) >= quarantineAfter:
-		return quarantined("crashed two endpoints", time.Until(e.expires))
+		refusal := quarantined("crashed two endpoints", time.Until(e.expires))
+		refusal.NoRetry = true
+		return refusal
 	case active[0].Node != q.Node && active[0].Trial != q.Node:
 		return quarantined("suspected of a crash; only one other endpoint may run it", pendingHint)
 	case active[0].Node == q.Node && active[0].State == Pending:
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -14,6 +14,9 @@
 const (
 	HeaderRefused = "Gentianlever-Refused"
 	HeaderRan     = "Gentianlever-Ran"
+	// HeaderRetry with RetryNever says that no other endpoint may be tried, whatever
+	// the reason allows.
+	HeaderRetry = "Gentianlever-Retry"
 )
 
 // Ran says whether a refused request may have run at an endpoint.
@@ -268,8 +271,8 @@
 		Reason: Quarantined,
 		Status: http.StatusServiceUnavailable,
 		Ran:    NotRun,
-		Retry:  RetryNever,
-		Help:   "the same request crashed two endpoints and is refused for a period",
+		Retry:  RetryElsewhere,
+		Help:   "the same request crashed two endpoints and is refused for a period, or one endpoint, and another one may still run it",
 	},
 	{
 		Reason: Unauthenticated,
@@ -309,6 +312,9 @@
 	Reason Reason
 	// Ran overrides the table where the sender knows more; empty means the table's value.
 	Ran Ran
+	// NoRetry forbids further attempts whatever the table says, as for a request that
+	// crashed its endpoint.
+	NoRetry bool
 	// Detail says what was wrong with this request; it may be empty.
 	Detail string
 	// Hint is the time after which another attempt is worth making; zero is none.
@@ -339,5 +345,8 @@
 	if r.Ran != "" {
 		row.Ran = r.Ran
 	}
+	if r.NoRetry {
+		row.Retry = RetryNever
+	}
 	return row
 }
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -122,6 +122,7 @@
 		Sync:          n.announcer.HandleSync,
 		Changes:       n.distributor.Since,
 		ClaimStatus:   n.claimStatus,
+		Suspects:      n.quarantiner.Merge,
 		Rejected:      n.messageRejected,
 	}).Handler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -57,6 +57,7 @@
 	toNodes    exchanger.Exchanger
 	toEndpoint exchanger.Exchanger
 	control
+	health
 }
 
 // Run serves until ctx ends and then shuts down gracefully: requests in flight are
@@ -81,6 +82,8 @@
 	p.Go(n.udp.Run)
 	p.Go(n.announcer.Run)
 	p.Go(n.distributor.Run)
+	p.Go(n.prober.Run)
+	p.Go(n.watchBreaks)
 	p.Go(func(background context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -96,7 +99,7 @@
 // shutDown finishes the requests in flight before it returns.
 func (n *Runner) shutDown(listeners []*listener) {
 	n.Log.Info("node is draining", "name", n.Settings.Name)
-	n.drainer.Mark = n.admitter.Drain
+	n.drainer.Mark = n.stopWork
 	n.drainer.Announce = func(context.Context) { n.announcer.Drain() }
 	n.drainer.Failed = func(err error) { n.Log.Warn("shutdown step failed", "error", err) }
 	admin := listeners[len(listeners)-1]
@@ -146,6 +149,7 @@
 		Incarnation: incarnation,
 	}
 	n.buildControl(incarnation)
+	n.buildHealth(incarnation)
 }
 
 // documentApplied puts the limits of the node's own service in force.
@@ -155,6 +159,7 @@
 	if d != nil && d.Service == n.Settings.Service {
 		n.admitter.Resize(d.Endpoint.Slots, d.Endpoint.LongSlots(), d.Endpoint.QueueLength)
 		n.toEndpoint.Resize(d.Endpoint.Connections)
+		n.resizeHealth(d)
 	}
 }
 
@@ -184,6 +189,7 @@
 		Counters:  &n.counters,
 		Closing:   n.drainer.Draining,
 	}
+	n.watchEndpoint(endpointSide)
 	callerSide := &forwarder.CallerSide{
 		NodeToken: token,
 		Document:  n.distributor.Document,
