--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -28,16 +28,16 @@
 	// carry one update.
 	retransmitFactor = 4
 	// maxUpdates and maxSuspects keep a message below 1,200 bytes: a member takes
-	// about 110 bytes and a fingerprint 32.
+	// about 110 bytes and a suspect with two crashes about 200.
 	maxUpdates  = 6
-	maxSuspects = 4
+	maxSuspects = 1
 	// massUpdates queued updates are ten full messages; failures and restarts of an
 	// ordinary day stay below.
 	massUpdates = 10 * maxUpdates
 	// massSent messages carry an update also in a mass start, for nodes that start
 	// late in it: with 300 nodes all know all after 49 s, with none after 77 s.
 	massSent        = 4
-	maxSuspectBytes = 32
+	maxSuspectBytes = 256
 	// noticeFanout members learn of a new revision at once. Each of them notifies as
 	// many, which reaches 95% of the members; pings reach the others.
 	noticeFanout = 3
@@ -80,10 +80,10 @@
 	Revision func() uint64
 	// Newer is called when a member has a higher revision. It must not block.
 	Newer func(from Member, revision uint64)
-	// Suspects returns fingerprints to send. The first 4 of at most 32 bytes are used.
+	// Suspects returns encoded suspects to send. The first of at most 256 bytes is used.
 	Suspects func() [][]byte
-	// SuspectsReceived is called with the fingerprints of a message.
-	SuspectsReceived func(fingerprints [][]byte)
+	// SuspectsReceived is called with the suspects of a message.
+	SuspectsReceived func(suspects [][]byte)
 
 	// DisableRefutation and DisableFailedSync switch a mechanism off. Tests show
 	// with them that the mechanism is needed.
@@ -214,6 +214,12 @@
 	a.notify(leaveFanout)
 }
 
+// Resume announces that this node takes new requests again.
+func (a *Announcer) Resume() {
+	a.revise(func(m *Member) { m.Draining = false })
+	a.notify(leaveFanout)
+}
+
 // Notify tells a few random members the current revision at once.
 func (a *Announcer) Notify(uint64) { a.notify(noticeFanout) }
 
@@ -272,9 +278,9 @@
 	if a.Suspects == nil {
 		return revision, nil
 	}
-	for _, fingerprint := range a.Suspects() {
-		if len(suspects) < maxSuspects && len(fingerprint) <= maxSuspectBytes {
-			suspects = append(suspects, fingerprint)
+	for _, suspect := range a.Suspects() {
+		if len(suspects) < maxSuspects && len(suspect) <= maxSuspectBytes {
+			suspects = append(suspects, suspect)
 		}
 	}
 	return revision, suspects
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -59,6 +59,7 @@
 	control
 	claims
 	calls
+	health
 }
 
 // Run serves until ctx ends and then shuts down gracefully: requests in flight are
@@ -83,6 +84,8 @@
 	p.Go(n.udp.Run)
 	p.Go(n.announcer.Run)
 	p.Go(n.distributor.Run)
+	p.Go(n.prober.Run)
+	p.Go(n.watchBreaks)
 	p.Go(func(background context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -98,7 +101,7 @@
 // shutDown finishes the requests in flight before it returns.
 func (n *Runner) shutDown(listeners []*listener) {
 	n.Log.Info("node is draining", "name", n.Settings.Name)
-	n.drainer.Mark = n.admitter.Drain
+	n.drainer.Mark = n.stopWork
 	n.drainer.Announce = func(context.Context) { n.announcer.Drain() }
 	n.drainer.Failed = func(err error) { n.Log.Warn("shutdown step failed", "error", err) }
 	callers, nodes, admin := listeners[0], listeners[1], listeners[2]
@@ -151,6 +154,7 @@
 	}
 	n.buildControl(incarnation)
 	n.buildClaims(incarnation)
+	n.buildHealth(incarnation)
 }
 
 // documentApplied puts the limits of the node's own service in force.
@@ -160,6 +164,7 @@
 	if d != nil && d.Service == n.Settings.Service {
 		n.admitter.Resize(d.Endpoint.Slots, d.Endpoint.LongSlots(), d.Endpoint.QueueLength)
 		n.toEndpoint.Resize(d.Endpoint.Connections)
+		n.resizeHealth(d)
 	}
 }
 
@@ -190,6 +195,7 @@
 		Claim:     n.claim,
 		Closing:   n.drainer.Draining,
 	}
+	n.watchEndpoint(endpointSide)
 	callerSide := n.callerSide(endpointSide)
 	// shutDown closes the listeners by their position here.
 	bindings := []struct {
