--- a/internal/measurer/ours.go
+++ b/internal/measurer/ours.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gentianlever/gentianlever/internal/admitter"
@@ -61,6 +62,8 @@
 	retriers  []*retrier.Retrier
 	admitters []*admitter.Admitter
 	limiters  []*limiter.Limiter
+	// running counts the long requests that hold a slot of each server.
+	running []atomic.Int32
 }
 
 func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
@@ -78,6 +81,7 @@
 		})
 		p.openServer()
 	}
+	p.running = make([]atomic.Int32, p.Servers)
 	for n := range p.Nodes {
 		p.openNode(n, endpoints)
 	}
@@ -324,11 +328,15 @@
 	if f.r.long {
 		request.Class = admitter.Long
 	}
-	ticket, err := f.admitters[index].Admit(ctx, request)
+	ticket, err := f.ticket(ctx, index, request)
 	if err != nil {
 		return err
 	}
 	f.count(func(t *tally) { t.runs++ })
+	if f.r.long {
+		f.running[index].Add(1)
+		defer f.running[index].Add(-1)
+	}
 	started := time.Now()
 	sv := f.servers[index]
 	if fault, ok := sv.fault(); ok && fault.FailFast {
--- a/internal/measurer/run.go
+++ b/internal/measurer/run.go
@@ -22,6 +22,9 @@
 	runs   int
 	hedges int
 	errors int
+	// queued and misplaced are as QueuedLong and MisplacedLong of Result.
+	queued    bool
+	misplaced bool
 }
 
 // Policy is a way to bring requests to servers.
@@ -164,6 +167,13 @@
 	}
 	if q.long {
 		res.OfferedLong++
+		res.TriesLong += t.tries
+		if t.queued {
+			res.QueuedLong++
+		}
+		if t.misplaced {
+			res.MisplacedLong++
+		}
 		if inTime {
 			res.AnsweredLong++
 			record(res.Long, latency)
--- a/internal/measurer/scenario.go
+++ b/internal/measurer/scenario.go
@@ -95,6 +95,13 @@
 	// OfferedLong and AnsweredLong count long requests.
 	OfferedLong  int
 	AnsweredLong int
+	// QueuedLong counts long requests that waited for a slot, and MisplacedLong those
+	// of them that began to wait for a long slot while one was free at another server.
+	// TriesLong is the number of their attempts between nodes. The baselines, whose
+	// long requests hold any slot, leave the first two at zero.
+	QueuedLong    int
+	MisplacedLong int
+	TriesLong     int
 	// Tries is the number of attempts between nodes, and Runs of executions at
 	// endpoints, both for short requests and with hedged copies.
 	Tries  int
