Refuse caller requests whose framing is ambiguous

Cause: net/http accepts bare line feeds, folded lines, a Content-Length beside a Transfer-Encoding and equal duplicates of Content-Length before a handler sees the request, so an endpoint or proxy may divide the stream differently.

FramingListener wraps the callers' listener and follows each connection's requests and bodies as net/http reads them. It puts a control character in the place of the rest of a refused request, so that net/http itself responds with 400 and closes, also behind pipelined requests in progress. The refusal is counted as malformed.

Ruled out: an error from Read, which closes the connection without a response and cancels an earlier pipelined request; buffering whole headers, which doubles the copying.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -1,7 +1,11 @@
 package runner
 
 import (
+	"net"
+
+	"github.com/gentianlever/gentianlever/internal/counter"
 	"github.com/gentianlever/gentianlever/internal/forwarder"
+	"github.com/gentianlever/gentianlever/internal/refuser"
 	"github.com/gentianlever/gentianlever/internal/retrier"
 )
 
@@ -25,6 +29,14 @@
 	}
 }
 
+// framed checks the framing of the requests of callers.
+func (n *Runner) framed(l net.Listener) net.Listener {
+	return &forwarder.FramingListener{
+		Listener: l,
+		Refused:  func() { n.counters.AddLabelled(counter.Refused, string(refuser.Malformed)) },
+	}
+}
+
 // retryReasons returns the label values of the counter of retry decisions.
 func retryReasons() []string {
 	reasons := make([]string, 0, len(retrier.Table))
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -224,6 +224,7 @@
 			},
 		})
 	}
+	listeners[0].Listener = n.framed(listeners[0].Listener)
 	return listeners, nil
 }
 
