--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -234,6 +234,7 @@
 			},
 		})
 	}
+	listeners[0].Listener = n.framed(listeners[0].Listener)
 	return listeners, nil
 }
 
