--- a/internal/validator/document.go
+++ b/internal/validator/document.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"sort"
-	"strings"
 	"time"
 )
 
