End the health loops without an error at shutdown

Now both loops end without an error. make smoke passes (200 requests answered while one node stopped), as do make check and the Crashing, Refusals and InFlight tests. The endpoint of the integration tests can report draining by its health check.

--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -136,6 +136,14 @@
 	return false
 }
 
+// watchHealth probes until ctx ends, which is no failure of the node.
+func (n *Runner) watchHealth(ctx context.Context) error {
+	if err := n.prober.Run(ctx); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
 // watchBreaks checks after broken connections whether the endpoint still accepts any. A
 // refused one confirms the crash at once. Without this check, an endpoint that restarts
 // before the budget pays for a probe would look healthy and clear its suspect.
@@ -143,7 +151,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return nil
 		case <-n.broken:
 		}
 		checking, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -82,7 +82,7 @@
 	p.Go(n.udp.Run)
 	p.Go(n.announcer.Run)
 	p.Go(n.distributor.Run)
-	p.Go(n.prober.Run)
+	p.Go(n.watchHealth)
 	p.Go(n.watchBreaks)
 	p.Go(func(background context.Context) error {
 		select {
--- a/test/integration/endpoint_test.go
+++ b/test/integration/endpoint_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 )
 
 // headerID names a request in the endpoint's record.
@@ -17,6 +18,8 @@
 	address netip.AddrPort
 	// handle serves a request after it is recorded; nil answers with its identity.
 	handle func(w http.ResponseWriter, r *http.Request)
+	// draining makes the health check report that the endpoint is draining.
+	draining atomic.Bool
 
 	mu        sync.Mutex
 	server    *http.Server
@@ -31,7 +34,12 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		if e.draining.Load() {
+			w.Header().Set("Gentianlever-Draining", "yes")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
 	mux.HandleFunc("/", e.serve)
 	s := &http.Server{Handler: mux}
 	e.mu.Lock()
