Give each process of a test a port that no other one gets

Cause: FreeAddress asked the kernel for a port and closed it, so the kernel could give the same port to the next caller or to an outgoing connection.

Ports now come in turn from 10000 to 31999, below the kernel's range for outgoing connections (32768 to 60999 here), from a place that depends on the process. Ruled out: nodes that had not ended yet; no node had been stopped before the failing listens.

--- a/test/launcher/process.go
+++ b/test/launcher/process.go
@@ -109,21 +109,57 @@
 	<-p.exited
 }
 
+// Ports are given out in turn from below the range that the kernel takes for outgoing
+// connections and for port 0. Within that range, a port that was free a moment ago was
+// given out twice or taken by a connection in 2 of 50 starts.
+const (
+	firstPort = 10000
+	ports     = 22000
+	// portStride separates the first ports of programs that run at the same time.
+	portStride = 997
+)
+
+var (
+	portMu    sync.Mutex
+	portCount = os.Getpid() * portStride
+)
+
+// PortsError reports that no port of the range is free.
+type PortsError struct {
+	First, Count int
+}
+
+func (e *PortsError) Error() string {
+	return fmt.Sprintf("none of the %d ports from %d is free", e.Count, e.First)
+}
+
 // FreeAddress returns a loopback address whose port was free a moment ago, for TCP
-// and UDP.
+// and UDP, and which this process did not get before.
 func FreeAddress() (netip.AddrPort, error) {
-	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return netip.AddrPort{}, err
+	portMu.Lock()
+	defer portMu.Unlock()
+	for range ports {
+		portCount++
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+portCount%ports))
+		if free(address) {
+			return address, nil
 		}
-		address := l.Addr().(*net.TCPAddr).AddrPort()
-		u, err := net.ListenPacket("udp", address.String())
-		_ = l.Close()
-		if err != nil {
-			continue
-		}
-		_ = u.Close()
-		return address, nil
 	}
+	return netip.AddrPort{}, &PortsError{
+		First: firstPort,
+		Count: ports,
+	}
+}
+
+func free(address netip.AddrPort) bool {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return false
+	}
+	defer func() { _ = l.Close() }()
+	u, err := net.ListenPacket("udp", address.String())
+	if err != nil {
+		return false
+	}
+	return u.Close() == nil
 }
