--- a/test/launcher/status.go
+++ b/test/launcher/status.go
@@ -21,6 +21,8 @@
 type MemberStatus struct {
 	ID    string `json:"id"`
 	State string `json:"state"`
+	// Draining says that the member takes no new requests.
+	Draining bool `json:"draining"`
 }
 
 // Present counts the members that have neither failed nor left.
