Test edits after an announced revision that nobody has

Cause: an edit fetches an announced revision first; nothing checked that it is accepted once the announcing node turns out not to have the revision.

No code changed.

--- a/internal/distributor/restored_test.go
+++ b/internal/distributor/restored_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/gentianlever/gentianlever/internal/storer"
 )
 
 // versions accepts edits of vault up to a version and returns the table after the first.
@@ -99,3 +101,20 @@
 		})
 	}
 }
+
+// Guards against edits that are refused for good, because a node that announced a
+// revision restarted and no longer has it.
+func TestAnnouncedRevisionThatNobodyHas(t *testing.T) {
+	is := is.NewRelaxed(t)
+	c := &cluster{}
+	c.run(t, 3, func(ctx context.Context) {
+		c.nodes[1].setAlone(true)
+		c.nodes[0].Newer("1", 9)
+		_, err := c.nodes[0].Apply(ctx, edit("vault", "e1", 0))
+		var unavailable *storer.UnavailableError
+		is.True(errors.As(err, &unavailable)) // that node may have the changes
+		c.nodes[1].setAlone(false)
+		_, err = c.nodes[0].Apply(ctx, edit("vault", "e1", 0))
+		is.NoErr(err) // it has not
+	})
+}
