Wait for the close in TestStaleConnection instead of for 10 ms

Ruled out: the idle check of the exchanger; with the close awaited it always finds the stale connection.

The assertions are unchanged.

--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -220,18 +220,22 @@
 func TestStaleConnection(t *testing.T) {
 	is := is.New(t)
 	for _, after := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"} {
+		// closed tells that the connection is stale before the next exchange begins.
+		closed := make(chan struct{})
 		to := raw(t, func(c net.Conn) {
 			_, _ = http.ReadRequest(bufio.NewReader(c))
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 			time.Sleep(2 * time.Millisecond)
 			_, _ = io.WriteString(c, after)
+			_ = c.Close()
+			closed <- struct{}{}
 		})
 		e := exchanger()
 		for range 10 {
 			got, err := read(t.Context(), e, request("GET", ""), to)
 			is.NoErr(err)
 			is.Equal(got, "ok")
-			time.Sleep(10 * time.Millisecond)
+			<-closed
 		}
 	}
 }
