Let the latency estimate of hedging forget a peak within a second

Cause: the estimate halved its counts every 1,024 samples, so a node with 300 calls a second kept the latencies of a peak for about 7 s and hedged too late.

--- a/internal/retrier/estimator.go
+++ b/internal/retrier/estimator.go
@@ -13,6 +13,11 @@
 	// window is the number of samples after which all counts are halved, so that the
 	// estimate follows a change within about as many calls.
 	window = 1024
+	// halfLife is the time after which counts are halved where minWindow samples are
+	// there. By samples alone, a node with 300 calls a second kept the latencies of a
+	// peak for 7 s after it, and hedged too late.
+	halfLife  = 250 * time.Millisecond
+	minWindow = 160
 	// minSamples is the number of samples below which nothing is estimated.
 	minSamples = 20
 )
@@ -24,18 +29,20 @@
 type estimator struct {
 	counts [bucketCount]float32
 	total  float32
+	halved time.Time
 }
 
-func (e *estimator) observe(latency time.Duration) {
+func (e *estimator) observe(latency time.Duration, now time.Time) {
 	i := 0
 	if latency > leastBucket {
 		i = min(bucketCount-1, int(math.Log(float64(latency)/float64(leastBucket))/logRatio)+1)
 	}
 	e.counts[i]++
 	e.total++
-	if e.total < window {
+	if e.total < window && (e.total < minWindow || now.Sub(e.halved) < halfLife) {
 		return
 	}
+	e.halved = now
 	for i := range e.counts {
 		e.counts[i] /= 2
 	}
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -263,5 +263,5 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budget(service, now).latency.observe(latency)
+	r.budget(service, now).latency.observe(latency, now)
 }
