Take an endpoint's draining report only where a health check can end it

Cause: a response with Gentianlever-Draining made the node refuse new work until a health check said otherwise; a service without a health path has no check, so its endpoint was refused work until its node restarted. Ruled out: an expiry of the report, which would send work to an endpoint that is still draining.

Before: TestDrainingReportNeedsAHealthCheck fails (503, not 200). After: it passes; the draining test with a health check is unchanged.

--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -111,7 +111,8 @@
 	if !e.Failed() {
 		n.prober.Evidence()
 	}
-	if e.Draining {
+	// Only a health check can end the report, so without one it is not taken.
+	if e.Draining && n.healthPath() != "" {
 		n.endpointDraining(true)
 	}
 	outcome := quarantiner.Inconclusive
@@ -176,11 +177,20 @@
 
 func (e *DrainingError) Error() string { return "endpoint reports that it is draining" }
 
+// healthPath returns the path of the health check, empty where there is none.
+func (n *Runner) healthPath() string {
+	d, ok := n.distributor.Document(n.Settings.Service, "")
+	if !ok {
+		return ""
+	}
+	return d.Health.Path
+}
+
 // probe runs one health check. Its error is a *DrainingError, a *ProbeError for any
 // other status of 500 or more, or an error of the exchanger.
 func (n *Runner) probe(ctx context.Context) error {
-	d, ok := n.distributor.Document(n.Settings.Service, "")
-	if !ok || d.Health.Path == "" {
+	path := n.healthPath()
+	if path == "" {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -188,7 +198,7 @@
 	n.counters.Add(counter.Probes, 1)
 	resp, err := n.toEndpoint.Exchange(ctx, &http.Request{
 		Method: http.MethodGet,
-		URL:    &url.URL{Path: d.Health.Path},
+		URL:    &url.URL{Path: path},
 		Host:   n.Settings.EndpointAddress.String(),
 		Header: http.Header{"User-Agent": {"gentianlever-probe"}},
 	}, n.Settings.EndpointAddress)
--- a/test/integration/health_test.go
+++ b/test/integration/health_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -53,3 +54,24 @@
 		})
 	}))
 }
+
+// Guards against an endpoint that is refused work for ever, because it reported draining
+// and has no health check that could end the report.
+func TestDrainingReportNeedsAHealthCheck(t *testing.T) {
+	is := is.New(t)
+	s := newSet(t, 1)
+	endpoints := begin(t, s)
+	endpoints[0].handle = func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Gentianlever-Draining", "yes")
+	}
+	unchecked := strings.Replace(launcher.ProofViewer, `"health": {"path": "/healthz"},`, "", 1)
+	is.NoErr(s.Apply(s.Nodes[0], "proof-viewer", unchecked, 1))
+	for i := range 5 {
+		a := newCaller(t).send(s.Nodes[0], send{
+			method: http.MethodGet,
+			path:   "/proofs/1",
+			id:     fmt.Sprint(i),
+		})
+		is.Equal(a.status, http.StatusOK)
+	}
+}
