Give each copy of a simulated request instants of its own

Two events fell on the same nanosecond about twice in a run; their goroutines then ran in any order.

--- a/internal/measurer/server.go
+++ b/internal/measurer/server.go
@@ -126,8 +126,42 @@
 	return Fault{}, false
 }
 
-// sleep reports false where ctx ends first.
+// slotLength is the length of the time slots within which each copy of a request has an
+// instant of its own. Without it, two events fell on the same nanosecond about twice in a
+// run; their goroutines then ran in any order, and figures varied between runs.
+const slotLength = 1 << 14
+
+// The instants of one request within a slot.
+const (
+	instantFirst = iota
+	instantHedge
+	instantTimer
+	instantLong
+	instants
+)
+
+// instantKey is the key of a copy's instant in its context.
+type instantKey struct{}
+
+func withInstant(ctx context.Context, id uint64, kind int64) context.Context {
+	return context.WithValue(ctx, instantKey{}, instantOf(id, kind))
+}
+
+func instantOf(id uint64, kind int64) int64 {
+	return (int64(id%slotLength)*instants + kind) % slotLength
+}
+
+// align returns the first time from t on that falls on an instant.
+func align(t time.Time, instant int64) time.Time {
+	return t.Add(time.Duration((instant - t.UnixNano()%slotLength + slotLength) % slotLength))
+}
+
+// sleep waits for a duration and until the instant of its context. It reports false
+// where ctx ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
+	if instant, ok := ctx.Value(instantKey{}).(int64); ok {
+		d = time.Until(align(time.Now().Add(d), instant))
+	}
 	if ctx.Done() == nil {
 		time.Sleep(d)
 		return true
