Share one table client; remove a field and a type that nothing reads

Cause: a last reading of the change. Claims and control each built a client of the platform's table; Administrator.Services was set and never read; the simulation's outcome type carried a flag that nothing read, and one of its functions a context that it did not use. Ruled out: a change of behaviour; no test or check was touched.

Before: two table clients with connections of their own in each node.

Left as it is: persister's OnRead and OnWrite stand beside the runner's own counting of operations, and the exchanger's and forwarder's tests each have a raw server.

--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -37,8 +37,6 @@
 	Apply func(ctx context.Context, e distributor.Edit) (distributor.Change, error)
 	// Current returns the change in force of a service.
 	Current func(service string) (distributor.Change, bool)
-	// Services returns the changes in force of all services.
-	Services func() []distributor.Change
 	// History returns the accepted changes of a service, the latest first.
 	History func(ctx context.Context, service string) ([]distributor.Change, error)
 	// Status returns the state of the node.
--- a/internal/measurer/ours.go
+++ b/internal/measurer/ours.go
@@ -136,12 +136,6 @@
 	p.retriers = append(p.retriers, r)
 }
 
-// outcome is the end of one copy of a request.
-type outcome struct {
-	hedge bool
-	err   error
-}
-
 // flight is one request with its copies.
 type flight struct {
 	*ours
@@ -170,8 +164,8 @@
 	}
 	rt := p.retriers[r.node]
 	rt.Begin(f.call)
-	results := make(chan outcome, 2)
-	go func() { results <- outcome{err: f.first(ctx)} }()
+	results := make(chan error, 2)
+	go func() { results <- f.first(ctx) }()
 	var hedge <-chan time.Time
 	if after, ok := rt.HedgeAfter(f.call); ok {
 		t := time.NewTimer(time.Until(align(time.Now().Add(after), instantOf(r.id, instantTimer))))
@@ -181,7 +175,7 @@
 	return f.wait(ctx, results, hedge)
 }
 
-func (f *flight) wait(ctx context.Context, results chan outcome, hedge <-chan time.Time) (tally, bool) {
+func (f *flight) wait(ctx context.Context, results chan error, hedge <-chan time.Time) (tally, bool) {
 	running := 1
 	for {
 		select {
@@ -197,15 +191,12 @@
 				if ctx.Err() == nil {
 					f.retriers[f.r.node].HedgeEnded(serviceName, !hasReason(err, refuser.NoFreeSlot))
 				}
-				results <- outcome{
-					hedge: true,
-					err:   err,
-				}
+				results <- err
 			}()
-		case o := <-results:
+		case err := <-results:
 			running--
-			if o.err == nil || running == 0 {
-				return f.snapshot(), o.err == nil
+			if err == nil || running == 0 {
+				return f.snapshot(), err == nil
 			}
 			// A hedged copy that was refused leaves the first copy running.
 			hedge = nil
@@ -248,7 +239,7 @@
 	sv := f.servers[index]
 	started := time.Now()
 	if !hedge {
-		defer func() { f.observe(ctx, started) }()
+		defer func() { f.observe(started) }()
 		if !f.retriers[f.r.node].MayMove(f.call) {
 			a.LeastLoad = -1
 		}
@@ -273,7 +264,7 @@
 }
 
 // observe records the time of a first copy, whether it answered or lost to a faster one.
-func (f *flight) observe(_ context.Context, started time.Time) {
+func (f *flight) observe(started time.Time) {
 	if !f.r.long {
 		f.retriers[f.r.node].Observe(serviceName, time.Since(started))
 	}
--- a/internal/runner/claims.go
+++ b/internal/runner/claims.go
@@ -25,7 +25,7 @@
 // buildClaims builds the claimer. incarnation is that of this start.
 func (n *Runner) buildClaims(incarnation uint64) {
 	n.claimer = claimer.Claimer{
-		Table:       n.counted(persister.Table(n.Settings.Platform)),
+		Table:       n.table,
 		Objects:     n.countedObjects(persister.Objects(n.Settings.Platform)),
 		Node:        n.Settings.Name,
 		Incarnation: incarnation,
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -21,6 +21,9 @@
 
 // control holds what connects membership and documents to the other nodes.
 type control struct {
+	// table is shared by all that use the platform's table, so that they share its
+	// client and connections.
+	table       storer.Table
 	announcer   announcer.Announcer
 	distributor distributor.Distributor
 	udp         messenger.UDP
@@ -30,7 +33,7 @@
 // buildControl builds membership and documents. incarnation is that of this start.
 func (n *Runner) buildControl(incarnation uint64) {
 	s := n.Settings
-	table := n.counted(persister.Table(s.Platform))
+	n.table = n.counted(persister.Table(s.Platform))
 	n.client = messenger.Client{
 		MembershipKey: s.MembershipKey,
 		Sent:          n.messageSent,
@@ -57,7 +60,7 @@
 		Seeds:    s.Seeds,
 		Expected: s.ExpectedNodes,
 		Seed:     incarnation,
-		Table:    table,
+		Table:    n.table,
 		Send:     n.udp.Send,
 		Sync:     n.client.Sync,
 		Changed:  n.membersChanged,
@@ -65,7 +68,7 @@
 		Newer:    func(from announcer.Member, revision uint64) { n.distributor.Newer(from.ID, revision) },
 	}
 	n.distributor = distributor.Distributor{
-		Table:    table,
+		Table:    n.table,
 		Seed:     incarnation,
 		Expected: s.ExpectedNodes,
 		Fetch:    n.fetchChanges,
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -246,7 +246,6 @@
 		Counters: &n.counters,
 		Apply:    n.distributor.Apply,
 		Current:  n.distributor.Current,
-		Services: n.distributor.Services,
 		Status:   n.status,
 		History:  n.distributor.History,
 	}
