--- /dev/null
+++ b/internal/router/splitter.go
@@ -0,0 +1,78 @@
+package router
+
+import "sync"
+
+// Splitter distributes the requests of split routes over their parts by smooth weighted
+// round robin, so that the shares hold over any window and not only on average. It keeps
+// its place through versions of the table that leave a route's parts as they are.
+type Splitter struct {
+	mu     sync.Mutex
+	routes map[string]*rotation
+}
+
+type rotation struct {
+	parts   []Part
+	current []int
+}
+
+// maxRotations bounds the memory of routes that are no longer in the table.
+const maxRotations = 10000
+
+// Choose returns the service of the next request of a route. offset, for example a random
+// number of the node, spreads the first choices of several nodes.
+func (s *Splitter) Choose(r *Route, offset int) string {
+	if len(r.Parts) == 1 {
+		return r.Parts[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rot := s.routes[r.Name]
+	if rot == nil || !sameParts(rot.parts, r.Parts) {
+		rot = s.start(r, offset)
+	}
+	return rot.next()
+}
+
+func (s *Splitter) start(r *Route, offset int) *rotation {
+	if s.routes == nil || len(s.routes) >= maxRotations {
+		s.routes = make(map[string]*rotation)
+	}
+	rot := &rotation{
+		parts:   r.Parts,
+		current: make([]int, len(r.Parts)),
+	}
+	s.routes[r.Name] = rot
+	total := 0
+	for _, p := range r.Parts {
+		total += p.Weight
+	}
+	for range offset % total {
+		rot.next()
+	}
+	return rot
+}
+
+func (r *rotation) next() string {
+	total, best := 0, 0
+	for i, p := range r.parts {
+		r.current[i] += p.Weight
+		total += p.Weight
+		if r.current[i] > r.current[best] {
+			best = i
+		}
+	}
+	r.current[best] -= total
+	return r.parts[best].Service
+}
+
+func sameParts(a, b []Part) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
