--- a/Makefile
+++ b/Makefile
@@ -17,13 +17,13 @@
 
 # Formatter and linter; fails where gofumpt would change a file.
 check:
-	@out=$$($(TOOL) gofumpt -l cmd internal test); if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
-	$(TOOL) revive -set_exit_status -config revive.toml ./cmd/... ./internal/... ./test/...
+	@out=$$($(TOOL) gofumpt -l cmd internal platform test); if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
+	$(TOOL) revive -set_exit_status -config revive.toml ./cmd/... ./internal/... ./platform/... ./test/...
 	go vet ./...
 
 # The race detector on the packages that share state between goroutines.
 race:
-	go test -race ./internal/...
+	go test -race ./internal/... ./platform/...
 
 # Remakes the reference page and the committed code of the messages between nodes.
 generate:
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -32,6 +32,7 @@
 // arguments holds the subcommands; go-arg fills the one that is given.
 type arguments struct {
 	Node     *nodeArguments     `arg:"subcommand:node" help:"run a node beside an endpoint"`
+	Sidecar  *sidecarArguments  `arg:"subcommand:sidecar" help:"run a node that serves a routing table from the platform's store"`
 	Check    *checkArguments    `arg:"subcommand:check" help:"check documents and settings"`
 	Apply    *applyArguments    `arg:"subcommand:apply" help:"change a service's document"`
 	Show     *showArguments     `arg:"subcommand:show" help:"print a service's document in force"`
@@ -64,6 +65,10 @@
 			given: args.Node != nil,
 			run:   func() error { return c.node(args.Node) },
 		},
+		{
+			given: args.Sidecar != nil,
+			run:   func() error { return c.sidecar(args.Sidecar) },
+		},
 		{
 			given: args.Check != nil,
 			run:   func() error { return c.check(args.Check) },
--- /dev/null
+++ b/internal/conductor/conductor.go
@@ -0,0 +1,345 @@
+// Package conductor builds a node that serves a routing table from the platform's store,
+// and runs it.
+package conductor
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/gentianlever/gentianlever/internal/budgeter"
+	"github.com/gentianlever/gentianlever/internal/exchanger"
+	"github.com/gentianlever/gentianlever/internal/follower"
+	"github.com/gentianlever/gentianlever/internal/forwarder"
+	"github.com/gentianlever/gentianlever/internal/registrar"
+	"github.com/gentianlever/gentianlever/internal/relayer"
+	"github.com/gentianlever/gentianlever/internal/router"
+	"github.com/gentianlever/gentianlever/internal/storer"
+	"github.com/gentianlever/gentianlever/internal/validator"
+	"github.com/gentianlever/gentianlever/platform"
+)
+
+const (
+	// connectTimeout is a hundred round trips between availability zones.
+	connectTimeout = 300 * time.Millisecond
+	// endpointIdle is used where an endpoint does not state its own timeout.
+	endpointIdle = 5 * time.Second
+	// nodeIdle is less than serverIdle, so that a node never sends a request on a
+	// connection that the other node is closing.
+	nodeIdle   = 30 * time.Second
+	serverIdle = 60 * time.Second
+	// callersIdle is above any idle timeout that callers are known to use, so that the
+	// node does not close a connection on which a caller is about to send.
+	callersIdle = 2 * time.Minute
+	// keepAlive shows within three of it that a connection has gone silent.
+	keepAlive         = time.Second
+	readHeaderTimeout = 10 * time.Second
+	maxHeaderBytes    = 64 << 10
+	// connectionsPerNode bounds the connections to one other node.
+	connectionsPerNode = 256
+	// defaultConnections bounds the connections to the endpoint before a routing table
+	// states how many it accepts.
+	defaultConnections = 16
+	// zoneDistance is the round trip between availability zones of a region, and
+	// regionDistance that between regions.
+	zoneDistance   = 2 * time.Millisecond
+	regionDistance = 60 * time.Millisecond
+)
+
+// Conductor is one node. Set the exported fields before Run.
+type Conductor struct {
+	Settings *validator.Sidecar
+	Log      *slog.Logger
+	// Reload yields new settings after each change of them; it may be nil.
+	Reload <-chan *validator.Sidecar
+
+	incarnation uint64
+	stopping    atomic.Bool
+	bounds      atomic.Pointer[validator.Bounds]
+	dialect     relayer.Dialect
+	store       platform.Store
+	table       storer.Table
+	follower    follower.Follower
+	registrar   registrar.Registrar
+	splitter    router.Splitter
+	budget      budgeter.Budgeter
+	view        relayer.View
+	toNodes     exchanger.Exchanger
+	toEndpoint  exchanger.Exchanger
+	callers     relayer.CallerSide
+	endpoint    relayer.EndpointSide
+	membership
+	departures
+}
+
+// Run serves until ctx ends and then shuts down gracefully.
+func (n *Conductor) Run(ctx context.Context) error {
+	n.build()
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	n.Log.Info("node-started", "node", n.Settings.Name, "service", n.Settings.Service,
+		"zone", n.Settings.AvailabilityZone, "incarnation", n.incarnation, "callers", n.Settings.CallersAddress)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	p := pool.New().WithContext(background).WithCancelOnError().WithFirstError()
+	for _, l := range listeners.all() {
+		p.Go(func(context.Context) error { return l.serve() })
+	}
+	p.Go(n.follower.Run)
+	p.Go(n.runMembership)
+	p.Go(n.restoreDepartures)
+	p.Go(n.watchSlowness)
+	p.Go(n.watchSettings)
+	p.Go(func(background context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-background.Done():
+		}
+		n.shutDown(listeners)
+		stop()
+		return nil
+	})
+	return p.Wait()
+}
+
+func (n *Conductor) build() {
+	s := n.Settings
+	n.builtAt = time.Now()
+	n.incarnation = uint64(n.builtAt.UnixNano())
+	n.bounds.Store(&s.Bounds)
+	n.dialect = platform.Dialect()
+	n.store.Address = s.StoreAddress
+	n.store.Called = n.storeCalled
+	n.store.Open()
+	n.table = n.store.Table()
+	n.buildExchangers()
+	n.registrar.Service = s.Service
+	n.registrar.Address = s.EndpointAddress
+	n.registrar.Changed = n.endpointChanged
+	n.follower.Read = n.store.ReadTable
+	n.follower.Wait = n.store.WaitTable
+	n.follower.Fetch = n.fetchTable
+	n.follower.Decode = platform.DecodeTable
+	n.follower.Applied = n.tableApplied
+	n.follower.Failed = n.followFailed
+	n.budget = budgeter.Budgeter{
+		Ratio:  s.Bounds.RetryRatio,
+		Slack:  s.Bounds.RetrySlack,
+		Window: s.Bounds.RetryWindow,
+		Nodes:  n.nodeCount,
+	}
+	n.buildSides()
+	n.buildMembership()
+}
+
+func (n *Conductor) buildExchangers() {
+	for _, e := range []*exchanger.Exchanger{&n.toNodes, &n.toEndpoint} {
+		e.ConnectTimeout = connectTimeout
+		e.KeepAlive = keepAlive
+	}
+	n.toNodes.IdleTimeout = nodeIdle
+	n.toNodes.MaxConnections = connectionsPerNode
+	n.toEndpoint.IdleTimeout = endpointIdle
+	n.toEndpoint.MaxConnections = defaultConnections
+	n.toEndpoint.Unframed = true
+	n.toEndpoint.Matches = n.dialect.Matches
+}
+
+func (n *Conductor) buildSides() {
+	s := n.Settings
+	n.endpoint = relayer.EndpointSide{
+		Dialect:      &n.dialect,
+		Address:      s.EndpointAddress,
+		Incarnation:  n.incarnation,
+		Endpoint:     n.knownEndpoint,
+		Exchanger:    &n.toEndpoint,
+		Stopping:     n.stopping.Load,
+		MaxBodyBytes: n.maxBodyBytes,
+		Observed:     n.observed,
+		LoadChanged:  n.loadChanged,
+	}
+	n.callers = relayer.CallerSide{
+		Dialect:   &n.dialect,
+		Node:      s.Name,
+		Service:   s.Service,
+		Host:      s.CallersAddress.Addr(),
+		Table:     n.follower.Table,
+		Splitter:  &n.splitter,
+		View:      &n.view,
+		Budget:    &n.budget,
+		Exchanger: &n.toNodes,
+		Local:     n.endpoint.Run,
+		Distance:  n.distance,
+		Closing:   n.stopping.Load,
+		Observed:  n.observed,
+		Seed:      n.incarnation,
+	}
+}
+
+// distance returns the round trip to an availability zone.
+func (n *Conductor) distance(zone string) time.Duration {
+	switch {
+	case zone == n.Settings.AvailabilityZone:
+		return 0
+	case n.Settings.Region(zone) == n.Settings.Region(n.Settings.AvailabilityZone):
+		return zoneDistance
+	}
+	return regionDistance
+}
+
+func (n *Conductor) maxBodyBytes() int64 {
+	if t := n.follower.Table(); t != nil && t.Limits.MaxBodyBytes > 0 {
+		return t.Limits.MaxBodyBytes
+	}
+	return maxNodeBody
+}
+
+// maxNodeBody bounds bodies between nodes while no routing table states a limit.
+const maxNodeBody = 64 << 20
+
+// tableApplied puts the limits of the node's own service in force and tells the members.
+func (n *Conductor) tableApplied(v *follower.Version, source string) {
+	n.Log.Info("table-applied", "version", v.Table.Version, "source", source, "routes", len(v.Table.Routes))
+	if service, ok := v.Table.Services[n.Settings.Service]; ok && service.MaxConnections > 0 {
+		n.toEndpoint.Resize(service.MaxConnections)
+	}
+	n.announceTable(v.Table.Version)
+}
+
+func (n *Conductor) followFailed(operation string, err error) {
+	if err != nil {
+		n.Log.Warn("table-unavailable", "operation", operation, "version", n.follower.Revision(), "error", err.Error())
+		return
+	}
+	n.Log.Info("table-available", "operation", operation, "version", n.follower.Revision())
+}
+
+// storeCalled logs failed calls of the store; successes are counted only.
+func (n *Conductor) storeCalled(operation string, err error) {
+	if err != nil {
+		n.Log.Warn("store-call-failed", "operation", operation, "error", err.Error())
+	}
+}
+
+func (n *Conductor) ready() bool {
+	return !n.stopping.Load() && n.follower.Table() != nil && n.joined()
+}
+
+// watchSettings puts changed settings in force as far as they may change while a node runs.
+func (n *Conductor) watchSettings(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s, ok := <-n.Reload:
+			if !ok {
+				return nil
+			}
+			n.bounds.Store(&s.Bounds)
+			n.budget.Resize(s.Bounds.RetryRatio, s.Bounds.RetrySlack, s.Bounds.RetryWindow)
+			n.store.Move(s.StoreAddress)
+			n.Log.Info("settings-reloaded", "store", s.StoreAddress, "grace", s.Bounds.Grace.String(),
+				"retry-ratio", s.Bounds.RetryRatio, "retry-slack", s.Bounds.RetrySlack)
+		}
+	}
+}
+
+type listener struct {
+	net.Listener
+	server *http.Server
+}
+
+func (l *listener) serve() error {
+	if err := l.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve %s", l.Addr())
+	}
+	return nil
+}
+
+type listeners struct {
+	callers *listener
+	nodes   *listener
+	ready   *listener
+	reports *listener
+	metrics *listener
+}
+
+func (l *listeners) all() []*listener {
+	return []*listener{l.callers, l.nodes, l.ready, l.reports, l.metrics}
+}
+
+// listen binds every address, so that a node with a wrong one does not start.
+func (n *Conductor) listen() (*listeners, error) {
+	s := n.Settings
+	var l listeners
+	reports := &platform.Reports{
+		Report:   n.report,
+		Leave:    n.leave,
+		Rejected: n.reportRejected,
+	}
+	for _, b := range []struct {
+		place   **listener
+		address netip.AddrPort
+		handler http.Handler
+		idle    time.Duration
+	}{
+		{
+			place:   &l.callers,
+			address: s.CallersAddress,
+			handler: &n.callers,
+			idle:    callersIdle,
+		},
+		{
+			place:   &l.nodes,
+			address: s.NodesAddress,
+			handler: n.nodesHandler(),
+			idle:    serverIdle,
+		},
+		{
+			place:   &l.ready,
+			address: s.ReadyAddress,
+			handler: platform.Ready(n.ready),
+			idle:    serverIdle,
+		},
+		{
+			place:   &l.reports,
+			address: s.ReportsAddress,
+			handler: reports.Handler(),
+			idle:    serverIdle,
+		},
+		{
+			place:   &l.metrics,
+			address: s.MetricsAddress,
+			handler: http.HandlerFunc(n.serveMetrics),
+			idle:    serverIdle,
+		},
+	} {
+		bound, err := net.Listen("tcp", b.address.String())
+		if err != nil {
+			return nil, errors.Wrapf(err, "settings: address %s can't be bound", b.address)
+		}
+		*b.place = &listener{
+			Listener: bound,
+			server: &http.Server{
+				Handler:           b.handler,
+				ReadHeaderTimeout: readHeaderTimeout,
+				IdleTimeout:       b.idle,
+				MaxHeaderBytes:    maxHeaderBytes,
+			},
+		}
+	}
+	l.callers.Listener = &forwarder.FramingListener{
+		Listener: l.callers.Listener,
+		Refused:  func() { n.Log.Warn("request-malformed", "reason", "framing") },
+	}
+	return &l, nil
+}
--- /dev/null
+++ b/internal/conductor/membership.go
@@ -0,0 +1,301 @@
+package conductor
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/subtle"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/gentianlever/gentianlever/internal/announcer"
+	"github.com/gentianlever/gentianlever/internal/distributor"
+	"github.com/gentianlever/gentianlever/internal/forwarder"
+	"github.com/gentianlever/gentianlever/internal/messenger"
+	"github.com/gentianlever/gentianlever/internal/relayer"
+	"github.com/gentianlever/gentianlever/internal/storer"
+)
+
+const (
+	// keyBytes is the length of the membership key.
+	keyBytes = 32
+	// keyPartition and keyName name the row with the key that all nodes share.
+	keyPartition = "keys"
+	keyName      = "membership"
+	// storeTimeout bounds a call to the store, which answers within milliseconds.
+	storeTimeout = time.Second
+	// storeRetry separates failed calls at the start.
+	storeRetry = 200 * time.Millisecond
+	// lonelyStart is the time after which a node without members is ready: it is the
+	// first, or the others come later.
+	lonelyStart = 3 * time.Second
+	// headerFetch asks a node for its routing table.
+	headerFetch = "Gentianlever-Fetch"
+	headerToken = "Gentianlever-Node"
+)
+
+// membership holds what connects the node to the others.
+type membership struct {
+	announcer announcer.Announcer
+	udp       messenger.UDP
+	client    messenger.Client
+	nodes     atomic.Pointer[nodesService]
+	members   atomic.Int64
+	joinedAt  atomic.Int64
+}
+
+// nodesService is what answers other nodes once the membership key is known.
+type nodesService struct {
+	token    string
+	messages http.Handler
+}
+
+func (n *Conductor) buildMembership() {
+	s := n.Settings
+	discard := func(int) {}
+	n.client = messenger.Client{Sent: discard}
+	n.udp = messenger.UDP{
+		Address:  s.NodesAddress,
+		Receive:  n.announcer.Receive,
+		Sent:     discard,
+		Received: func() {},
+		Rejected: func() {},
+	}
+	n.announcer = announcer.Announcer{
+		Self: announcer.Member{
+			ID:               s.Name,
+			Service:          s.Service,
+			AvailabilityZone: s.AvailabilityZone,
+			Region:           s.Region(s.AvailabilityZone),
+			Address:          s.NodesAddress,
+			Incarnation:      n.incarnation,
+			// The endpoint has not reported yet.
+			Draining: true,
+		},
+		Seed:     n.incarnation,
+		Table:    n.table,
+		Send:     n.udp.Send,
+		Sync:     n.client.Sync,
+		Changed:  n.membersChanged,
+		Revision: n.follower.Revision,
+		Newer:    func(from announcer.Member, revision uint64) { n.follower.Newer(from.ID, revision) },
+	}
+}
+
+// runMembership gets the key that all nodes share and then follows the members until ctx
+// ends.
+func (n *Conductor) runMembership(ctx context.Context) error {
+	key, err := n.membershipKey(ctx)
+	if err != nil {
+		return nil // ctx has ended
+	}
+	n.client.MembershipKey = key
+	n.client.Open()
+	n.udp.MembershipKey = key
+	if err := n.udp.Listen(); err != nil {
+		return err
+	}
+	token := forwarder.NodeToken(key)
+	n.endpoint.NodeToken = token
+	n.callers.NodeToken = token
+	n.nodes.Store(&nodesService{
+		token:    token,
+		messages: n.messengerService(key).Handler(),
+	})
+	n.joinedAt.Store(time.Now().UnixNano())
+	n.Log.Info("membership-started")
+	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	p.Go(n.udp.Run)
+	p.Go(n.announcer.Run)
+	return p.Wait()
+}
+
+// membershipKey reads the key from the store, or makes one where there is none. All nodes
+// get the same key, because only the first write takes effect.
+func (n *Conductor) membershipKey(ctx context.Context) ([]byte, error) {
+	row := storer.Row{
+		Key: storer.Key{
+			Partition: keyPartition,
+			Sort:      keyName,
+		},
+	}
+	for {
+		calling, cancel := context.WithTimeout(ctx, storeTimeout)
+		found, ok, err := n.table.Get(calling, row.Key)
+		cancel()
+		if err == nil && ok && len(found.Body) >= keyBytes {
+			return found.Body, nil
+		}
+		if err == nil && !ok {
+			row.Body = make([]byte, keyBytes)
+			if _, err := rand.Read(row.Body); err != nil {
+				return nil, err
+			}
+			calling, cancel := context.WithTimeout(ctx, storeTimeout)
+			err = n.table.Write(calling, []storer.Write{
+				{
+					Row:       row,
+					Condition: storer.Absent,
+				},
+			})
+			cancel()
+			if err == nil {
+				return row.Body, nil
+			}
+			// Another node was first, or the outcome is not known: the next read tells.
+			n.Log.Info("membership-key-not-written", "error", err.Error())
+		}
+		if !sleep(ctx, storeRetry) {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// joined reports whether the node knows others, or has looked for them long enough.
+func (n *Conductor) joined() bool {
+	at := n.joinedAt.Load()
+	return at != 0 && (n.members.Load() > 1 || time.Since(time.Unix(0, at)) > lonelyStart)
+}
+
+func (n *Conductor) nodeCount() int { return int(max(n.members.Load(), 1)) }
+
+func (n *Conductor) membersChanged(members []announcer.Member) {
+	n.members.Store(int64(len(members)))
+	peers := make([]relayer.Peer, 0, len(members))
+	for _, m := range members {
+		peers = append(peers, relayer.Peer{
+			ID:          m.ID,
+			Service:     m.Service,
+			Zone:        m.AvailabilityZone,
+			Address:     m.Address,
+			Incarnation: m.Started,
+			Draining:    m.Draining,
+		})
+	}
+	n.logMembers(members)
+	n.view.SetPeers(peers)
+}
+
+// logMembers logs the members whose state is not the one that was logged last.
+func (n *Conductor) logMembers(members []announcer.Member) {
+	states := make([]string, 0, len(members))
+	for _, m := range members {
+		state := m.State.String()
+		if m.Draining {
+			state += " draining"
+		}
+		states = append(states, fmt.Sprintf("%s@%d %s", m.ID, m.Started, state))
+	}
+	n.Log.Info("members-changed", "count", len(members), "members", states)
+}
+
+func (n *Conductor) announceTable(version uint64) {
+	if n.nodes.Load() != nil {
+		n.announcer.Notify(version)
+	}
+}
+
+// MemberError reports a node that is not a member, or no longer.
+type MemberError struct {
+	ID string
+}
+
+func (e *MemberError) Error() string { return "node " + e.ID + " is not a member" }
+
+// fetchTable reads the encoded routing table of a member.
+func (n *Conductor) fetchTable(ctx context.Context, member string) ([]byte, error) {
+	address, ok := n.memberAddress(member)
+	if !ok {
+		return nil, &MemberError{ID: member}
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/", nil)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set(headerFetch, "table")
+	r.Header.Set(headerToken, n.callers.NodeToken)
+	resp, err := n.toNodes.Exchange(ctx, r, address)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	encoded, err := io.ReadAll(io.LimitReader(resp.Body, maxTableBytes))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("member %s answered with status %d", member, resp.StatusCode)
+	}
+	return encoded, nil
+}
+
+// maxTableBytes bounds a routing table; a row of the store holds 64 KB.
+const maxTableBytes = 4 << 20
+
+func (n *Conductor) memberAddress(id string) (netip.AddrPort, bool) {
+	for _, m := range n.announcer.Present() {
+		if m.ID == id {
+			return m.Address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// nodesHandler serves messages, routing tables and requests for the endpoint to other nodes.
+func (n *Conductor) nodesHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		service := n.nodes.Load()
+		switch {
+		case service == nil:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case messenger.Addressed(r):
+			service.messages.ServeHTTP(w, r)
+		case r.Header.Get(headerFetch) != "":
+			n.serveTable(w, r, service.token)
+		default:
+			n.endpoint.ServeHTTP(w, r)
+		}
+	})
+}
+
+func (n *Conductor) serveTable(w http.ResponseWriter, r *http.Request, token string) {
+	v := n.follower.Current()
+	switch {
+	case subtle.ConstantTimeCompare([]byte(r.Header.Get(headerToken)), []byte(token)) != 1:
+		w.WriteHeader(http.StatusForbidden)
+	case v == nil:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		// A failed write means that the member has gone.
+		_, _ = w.Write(v.Encoded)
+	}
+}
+
+// messengerService answers the messages of other nodes. Documents and claims belong to
+// the product's own interface and are not served here.
+func (n *Conductor) messengerService(key []byte) *messenger.Service {
+	return &messenger.Service{
+		MembershipKey: key,
+		Sync:          n.announcer.HandleSync,
+		Changes:       func(uint64) []distributor.Change { return nil },
+		Rejected:      func() {},
+	}
+}
+
+// sleep waits and reports whether ctx still holds.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/exchanger/connection.go
+++ b/internal/exchanger/connection.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -27,6 +29,9 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	since  time.Time
+	// keep is the idle time after which the peer says that it closes the connection; zero
+	// where it does not say.
+	keep time.Duration
 	// sent is set once the kernel accepted a byte of the current request.
 	sent atomic.Bool
 	// grown marks a connection with an enlarged reader, which is not reused.
@@ -68,6 +73,26 @@
 	return n, err
 }
 
+// keepAliveTimeout returns the timeout that a Keep-Alive header states, or zero.
+func keepAliveTimeout(h http.Header) time.Duration {
+	for parameter := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+		if seconds, err := strconv.ParseUint(value, 10, 16); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
+
+// idle returns the time for which the connection may be idle: the pool's bound, or less
+// where the peer closes it sooner. A second covers the peer's rounding to whole seconds.
+func (c *connection) idle(bound time.Duration) time.Duration {
+	if c.keep > 0 {
+		return min(bound, max(c.keep-time.Second, c.keep/2))
+	}
+	return bound
+}
+
 // usable reports whether an idle connection is open and has no unread data. A peer
 // that closed it shows as an end of file, one that sent anything as data.
 func (c *connection) usable() bool {
@@ -80,7 +105,7 @@
 
 // readResponse reads the final response's header. interim is called for each
 // "100 Continue".
-func (c *connection) readResponse(r *http.Request, maxHeader int, interim func()) (*http.Response, error) {
+func (c *connection) readResponse(r *http.Request, maxHeader int, interim func(), unframed bool) (*http.Response, error) {
 	for range maxInterim {
 		if err := c.awaitHeader(maxHeader); err != nil {
 			return nil, err
@@ -93,6 +118,9 @@
 			return nil, &FramingError{Problem: "switching protocols was not asked for"}
 		}
 		if resp.StatusCode >= http.StatusOK {
+			if unframed {
+				return resp, nil
+			}
 			return resp, checkLength(resp)
 		}
 		if resp.StatusCode == http.StatusContinue && interim != nil {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -17,6 +17,9 @@
 	// inlineBytes is the largest body that is written before the response is read.
 	// It fits the socket buffers, so a peer that responds early blocks nobody.
 	inlineBytes = 64 << 10
+	// maxStray bounds the responses to other requests that are dropped before the one that
+	// is awaited.
+	maxStray = 4
 	// defaultHeaderBytes is the default bound on a response's header.
 	defaultHeaderBytes = 64 << 10
 )
@@ -37,6 +40,16 @@
 	ContinueTimeout time.Duration
 	// MaxHeaderBytes bounds a response's header; zero is 64 KB.
 	MaxHeaderBytes int
+	// KeepAlive is the time after which an idle peer is probed, and the time between
+	// probes; a connection without an answer to two of them has failed. Zero leaves the
+	// system's setting, with which a connection that went silent is noticed after minutes.
+	KeepAlive time.Duration
+	// Unframed accepts responses that only the end of the connection delimits. One whose
+	// connection was reset is not complete.
+	Unframed bool
+	// Matches reports whether a response belongs to a request. One that does not, such as
+	// a late second response to an earlier request, is read and dropped. Nil takes all.
+	Matches func(r *http.Request, resp *http.Response) bool
 
 	mu        sync.Mutex
 	addresses map[netip.AddrPort]*addressState
@@ -84,6 +97,7 @@
 		e.discard(c)
 		return nil, x.failure(ctx, err)
 	}
+	c.keep = keepAliveTimeout(resp.Header)
 	b := &body{
 		ReadCloser: resp.Body,
 		ctx:        ctx,
@@ -131,10 +145,10 @@
 		if err := x.write(x.r); err != nil {
 			return nil, err
 		}
-		return x.c.readResponse(x.r, limit, nil)
+		return x.receive(limit, nil)
 	}
 	x.startUpload()
-	resp, err := x.c.readResponse(x.r, limit, x.upload.proceed)
+	resp, err := x.receive(limit, x.upload.proceed)
 	x.upload.refuse()
 	if bodyErr := x.upload.bodyError.Load(); err != nil && bodyErr != nil {
 		return nil, bodyErr
@@ -142,6 +156,23 @@
 	return resp, err
 }
 
+// receive reads the response to the request and drops others that come before it.
+func (x *exchange) receive(limit int, interim func()) (*http.Response, error) {
+	for range maxStray {
+		resp, err := x.c.readResponse(x.r, limit, interim, x.e.Unframed)
+		if err != nil || x.e.Matches == nil || x.e.Matches(x.r, resp) {
+			return resp, err
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, err
+		}
+		if resp.Close {
+			return nil, &FramingError{Problem: "the connection ends with a response to another request"}
+		}
+	}
+	return nil, &FramingError{Problem: "too many responses to other requests"}
+}
+
 // inline reports whether the whole request is written before the response is read.
 func (x *exchange) inline() bool {
 	r := x.r
--- a/internal/exchanger/pool.go
+++ b/internal/exchanger/pool.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// keepAliveProbes is the number of unanswered probes after which a connection has failed.
+const keepAliveProbes = 2
+
 // addressState holds the connections of one address.
 type addressState struct {
 	// open counts connections that are idle, in use or being dialled.
@@ -30,7 +33,7 @@
 		if c == nil {
 			return e.dial(ctx, to)
 		}
-		if time.Since(c.since) < e.IdleTimeout && c.usable() {
+		if time.Since(c.since) < c.idle(e.IdleTimeout) && c.usable() {
 			return c, nil
 		}
 		e.discard(c)
@@ -92,6 +95,14 @@
 
 func (e *Exchanger) dial(ctx context.Context, to netip.AddrPort) (*connection, error) {
 	d := net.Dialer{Timeout: e.ConnectTimeout}
+	if e.KeepAlive > 0 {
+		d.KeepAliveConfig = net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     e.KeepAlive,
+			Interval: e.KeepAlive,
+			Count:    keepAliveProbes,
+		}
+	}
 	conn, err := d.DialContext(ctx, "tcp", to.String())
 	if err != nil {
 		e.release(to)
@@ -163,7 +174,7 @@
 	remaining := false
 	for _, a := range e.addresses {
 		a.idle = slices.DeleteFunc(a.idle, func(c *connection) bool {
-			expired := time.Since(c.since) >= e.IdleTimeout
+			expired := time.Since(c.since) >= c.idle(e.IdleTimeout)
 			if expired {
 				old = append(old, c)
 			}
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -73,6 +73,10 @@
 	return out
 }
 
+// Forwarded returns the headers of h that go on to the next hop: neither those of one
+// connection nor the system's own. The value slices are shared with h.
+func Forwarded(h http.Header) http.Header { return forwarded(h) }
+
 // strip removes from h what forwarded leaves out.
 func strip(h http.Header) {
 	named := connectionNames(h)
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -63,6 +63,9 @@
 	EndpointUnreachable Reason = "endpoint-unreachable"
 	EndpointFailed      Reason = "endpoint-failed"
 	EndpointShed        Reason = "endpoint-shed"
+	EndpointSlow        Reason = "endpoint-slow"
+	NotReady            Reason = "not-ready"
+	Overloaded          Reason = "overloaded"
 	NodeUnreachable     Reason = "node-unreachable"
 	NodeFailed          Reason = "node-failed"
 	Timeout             Reason = "timeout"
@@ -218,6 +221,27 @@
 		Retry:  RetryElsewhere,
 		Help:   "the endpoint shed the request with a status that its document lists",
 	},
+	{
+		Reason: EndpointSlow,
+		Status: http.StatusServiceUnavailable,
+		Ran:    NotRun,
+		Retry:  RetryElsewhere,
+		Help:   "the endpoint is slow at the moment and another one is likely to be faster",
+	},
+	{
+		Reason: NotReady,
+		Status: http.StatusServiceUnavailable,
+		Ran:    NotRun,
+		Retry:  RetryNever,
+		Help:   "the node has no routing table yet",
+	},
+	{
+		Reason: Overloaded,
+		Status: http.StatusServiceUnavailable,
+		Ran:    NotRun,
+		Retry:  RetryNever,
+		Help:   "the node holds as many request bodies as its memory allows",
+	},
 	{
 		Reason: NodeUnreachable,
 		Status: http.StatusBadGateway,
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -71,6 +71,8 @@
 	mu         sync.Mutex
 	endpoint   Endpoint
 	departures map[start]bool // whether it left
+	// replaced holds the IDs of earlier endpoints whose reports state no start.
+	replaced map[string]bool
 }
 
 // start names one start of an endpoint.
@@ -87,7 +89,7 @@
 	}
 	g.mu.Lock()
 	old := g.endpoint
-	if !newer(r, old) {
+	if !g.newer(r, old) {
 		g.mu.Unlock()
 		return false, nil
 	}
@@ -140,12 +142,22 @@
 	return nil
 }
 
-// newer orders reports by the endpoint's start and then by sequence.
-func newer(r Report, old Endpoint) bool {
-	if old.ID == "" || r.Started != old.Started {
+// newer orders reports by the endpoint's start and then by sequence. Reports that do not
+// state a start are ordered by the first appearance of their ID.
+func (g *Registrar) newer(r Report, old Endpoint) bool {
+	switch {
+	case old.ID == "" || r.Started != old.Started:
 		return old.ID == "" || r.Started > old.Started
+	case r.ID == old.ID:
+		return r.Sequence > old.Sequence
+	case r.Started != 0 || g.replaced[r.ID]:
+		return false
+	}
+	if g.replaced == nil || len(g.replaced) >= maxDepartures {
+		g.replaced = make(map[string]bool)
 	}
-	return r.Sequence > old.Sequence
+	g.replaced[old.ID] = true
+	return true
 }
 
 // Leave takes the statement of an endpoint that it leaves. A started of zero means that
--- /dev/null
+++ b/internal/relayer/view.go
@@ -0,0 +1,143 @@
+package relayer
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gentianlever/gentianlever/internal/placer"
+	"github.com/gentianlever/gentianlever/internal/reporter"
+)
+
+// Peer is the node beside an endpoint.
+type Peer struct {
+	ID      string
+	Service string
+	Zone    string
+	Address netip.AddrPort
+	// Incarnation is that of the node's start.
+	Incarnation uint64
+	// Draining is set where the node takes no new work for its endpoint.
+	Draining bool
+}
+
+// View is what a node knows of the endpoints of each service.
+type View struct {
+	mu       sync.Mutex
+	services map[string][]*known
+	byID     map[string]*known
+}
+
+// known is one endpoint with the latest report of its load.
+type known struct {
+	peer     Peer
+	load     reporter.Load
+	reported time.Time
+	// sent counts the node's own requests that the report does not show, and open those
+	// that have no outcome yet.
+	sent     int
+	open     int
+	failures int
+	failed   time.Time
+}
+
+// SetPeers replaces the peers. What is known of those that stay is kept.
+func (v *View) SetPeers(peers []Peer) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	services := make(map[string][]*known)
+	byID := make(map[string]*known)
+	for _, p := range peers {
+		k := v.byID[p.ID]
+		if k == nil || k.peer.Incarnation != p.Incarnation {
+			k = &known{}
+		}
+		k.peer = p
+		byID[p.ID] = k
+		services[p.Service] = append(services[p.Service], k)
+	}
+	v.services, v.byID = services, byID
+}
+
+// Report takes the load of an endpoint.
+func (v *View) Report(id string, load reporter.Load, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	k := v.byID[id]
+	if k == nil || load.Incarnation == 0 || load.Incarnation < k.load.Incarnation {
+		return
+	}
+	k.load = load
+	k.reported = now
+	k.sent = 0
+}
+
+// begin counts a request that is sent to a peer.
+func (v *View) begin(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if k := v.byID[id]; k != nil {
+		k.sent++
+		k.open++
+	}
+}
+
+// end counts the outcome of a request that was sent to a peer.
+func (v *View) end(id string, failed bool, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	k := v.byID[id]
+	if k == nil {
+		return
+	}
+	k.open = max(k.open-1, 0)
+	k.sent = max(k.sent-1, 0)
+	if failed {
+		k.failures++
+		k.failed = now
+	} else {
+		k.failures = 0
+	}
+}
+
+// candidate is an endpoint that a request may be sent to.
+type candidate struct {
+	placer.Candidate
+	peer Peer
+}
+
+// candidates returns the endpoints of a service that take requests, but for those excluded.
+func (v *View) candidates(service string, excluded map[string]bool, now time.Time) []candidate {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var found []candidate
+	for _, k := range v.services[service] {
+		if excluded[k.peer.ID] || k.peer.Draining {
+			continue
+		}
+		age := now.Sub(k.reported)
+		if k.reported.IsZero() {
+			age = -1
+		}
+		if k.load.Draining && age >= 0 && age < drainingMemory {
+			continue
+		}
+		found = append(found, candidate{
+			Candidate: placer.Candidate{
+				ID:           k.peer.ID,
+				Load:         k.load,
+				Age:          age,
+				Sent:         k.sent,
+				Failures:     k.failures,
+				SinceFailure: now.Sub(k.failed),
+			},
+			peer: k.peer,
+		})
+	}
+	return found
+}
+
+// drainingMemory is the time for which an endpoint that refused as draining is left out
+// without a report of its node. An endpoint whose node has just started reports within
+// its interval of 1.5 s.
+const drainingMemory = time.Second
--- a/internal/reporter/load.go
+++ b/internal/reporter/load.go
@@ -35,6 +35,9 @@
 	Incarnation uint64
 	// Draining reports that the endpoint takes no new work.
 	Draining bool
+	// Slowness is the time that work takes at the endpoint now, in percent of the usual;
+	// zero where the endpoint does not tell it.
+	Slowness int
 }
 
 // PerSlot returns the requests in flight and queued, divided by the slots.
@@ -66,6 +69,10 @@
 	b = strconv.AppendInt(b, l.ServiceTime.Microseconds(), 10)
 	b = append(b, ";incarnation="...)
 	b = strconv.AppendUint(b, l.Incarnation, 10)
+	if l.Slowness > 0 {
+		b = append(b, ";slowness="...)
+		b = strconv.AppendInt(b, int64(l.Slowness), 10)
+	}
 	if l.Draining {
 		b = append(b, ";draining"...)
 	}
@@ -106,7 +113,7 @@
 		return nil
 	}
 	switch name {
-	case "in-flight", "queued-short", "queued-long", "slots", "long-in-flight", "long-slots", "service-us", "incarnation":
+	case "in-flight", "queued-short", "queued-long", "slots", "long-in-flight", "long-slots", "service-us", "incarnation", "slowness":
 	default:
 		return nil
 	}
@@ -130,6 +137,8 @@
 		l.LongInFlight = int(n)
 	case "long-slots":
 		l.LongSlots = int(n)
+	case "slowness":
+		l.Slowness = int(n)
 	case "service-us":
 		l.ServiceTime = time.Duration(n) * time.Microsecond
 	case "incarnation":
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,299 @@
+// Package scheduler decides which requests run at an endpoint, which wait and which are
+// refused. It does no input or output and reads no clock: every call states the time.
+//
+// It answers load above the endpoint's slots: those served are served within their target
+// instead of everyone late. Urgent requests and calls of running work go first, and a
+// request that can no longer meet its target makes room at once.
+package scheduler
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/gentianlever/gentianlever/internal/reporter"
+)
+
+const (
+	// slownessHold is the time for which a slowness counts as current. Neighbours change
+	// within half a second, so an older figure says little.
+	slownessHold = 500 * time.Millisecond
+	// workWeight is the weight of a new sample in the estimate of a kind's work: the mean
+	// of about the last 20.
+	workWeight = 0.05
+	// maxKinds bounds the estimates of kinds that are no longer used.
+	maxKinds = 10000
+	// slowThreshold is the slowness, in percent of the usual, from which an endpoint
+	// counts as slow. A neighbour's noise makes it several times the usual.
+	slowThreshold = 200
+)
+
+// Request is one request that asks for a slot.
+type Request struct {
+	// Kind groups requests with alike work, such as those of one route.
+	Kind string
+	// Priority is the rank; zero is the most urgent.
+	Priority int
+	// Nested is set for a call of work that already holds a slot elsewhere.
+	Nested bool
+	// Arrival is the time at the first node.
+	Arrival time.Time
+	// Target is the time until which an answer has its full worth, and Deadline the one
+	// until which it has any.
+	Target   time.Time
+	Deadline time.Time
+	// Final is set where no other endpoint would serve the request sooner.
+	Final bool
+	// Guess is the expected work before any request of the kind was seen.
+	Guess time.Duration
+
+	started  time.Time
+	slowness float64
+}
+
+// Verdict is a decision on a request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Run Verdict = iota + 1
+	Wait
+	// Busy refuses because the queue would take too long.
+	Busy
+	// Slow refuses because the endpoint is slow at the moment.
+	Slow
+	// Hopeless refuses because no endpoint could answer before the deadline.
+	Hopeless
+)
+
+var verdictNames = []string{"none", "run", "wait", "busy", "slow", "hopeless"}
+
+func (v Verdict) String() string { return verdictNames[v] }
+
+// Decision is a verdict with the figures that decided it.
+type Decision struct {
+	Verdict Verdict
+	// ExpectedWait is the time until a slot is free, and ExpectedWork the time in it.
+	ExpectedWait time.Duration
+	ExpectedWork time.Duration
+	// Hint is the time after which a refused request is likely to find room.
+	Hint time.Duration
+}
+
+// Scheduler is the state of one endpoint. It is not safe for concurrent use. Slots is set
+// before use and may change between calls.
+type Scheduler struct {
+	Slots int
+	// NoOrder serves in the order of arrival, and NoTarget accepts whatever can meet its
+	// deadline. Tests show with them what the mechanisms gain.
+	NoOrder  bool
+	NoTarget bool
+
+	running  int
+	waiting  []*Request
+	work     map[string]time.Duration
+	mean     time.Duration
+	slowness int
+	measured time.Time
+}
+
+// Load returns the requests that run and those that wait.
+func (s *Scheduler) Load() (running, waiting int) { return s.running, len(s.waiting) }
+
+// SetSlowness records how long work takes, in percent of the usual.
+func (s *Scheduler) SetSlowness(percent int, now time.Time) {
+	s.slowness = percent
+	s.measured = now
+}
+
+// Slowness returns the slowness that is assumed at a time, and the age of its measurement.
+func (s *Scheduler) Slowness(now time.Time) (int, time.Duration) {
+	age := now.Sub(s.measured)
+	if s.slowness == 0 || age > slownessHold {
+		return reporter.UsualSlowness, age
+	}
+	return s.slowness, age
+}
+
+// LastSlowness returns the slowness that was recorded last, however old it is.
+func (s *Scheduler) LastSlowness() int { return s.slowness }
+
+// factor returns the slowness as a factor of the usual time.
+func (s *Scheduler) factor(now time.Time) float64 {
+	percent, _ := s.Slowness(now)
+	return max(float64(percent)/reporter.UsualSlowness, 0.1)
+}
+
+// Work returns the expected work of a request at the usual speed.
+func (s *Scheduler) Work(r *Request) time.Duration {
+	if w, ok := s.work[r.Kind]; ok {
+		return w
+	}
+	return r.Guess
+}
+
+// meanWork returns the expected work of those that hold the slots.
+func (s *Scheduler) meanWork(r *Request) time.Duration {
+	if s.mean > 0 {
+		return s.mean
+	}
+	return s.Work(r)
+}
+
+// expect returns the expected wait and work of a request with others ahead of it.
+func (s *Scheduler) expect(r *Request, ahead int, now time.Time) (wait, work time.Duration) {
+	f := s.factor(now)
+	work = scale(s.Work(r), f)
+	free := s.Slots - s.running
+	if ahead < free {
+		return 0, work
+	}
+	// Slots become free at an even rate while all are in use.
+	turns := float64(ahead-free+1) / float64(max(s.Slots, 1))
+	return scale(s.meanWork(r), turns*f), work
+}
+
+func scale(d time.Duration, f float64) time.Duration {
+	return time.Duration(math.Min(float64(d)*f, float64(math.MaxInt64/2)))
+}
+
+// Offer decides on a request. One with the verdict Run holds a slot until Done, one with
+// the verdict Wait until Next or Expired returns it or Withdraw removes it.
+func (s *Scheduler) Offer(r *Request, now time.Time) Decision {
+	ahead := s.ahead(r)
+	d := Decision{}
+	d.ExpectedWait, d.ExpectedWork = s.expect(r, ahead, now)
+	finish := now.Add(d.ExpectedWait + d.ExpectedWork)
+	usual := now.Add(s.Work(r))
+	slow := s.factor(now)*reporter.UsualSlowness >= slowThreshold
+	switch {
+	case usual.After(r.Deadline):
+		d.Verdict = Hopeless
+	case finish.After(r.Target) && !r.Final && !s.NoTarget && slow:
+		d.Verdict = Slow
+	case finish.After(r.Target) && !r.Final && !s.NoTarget:
+		d.Verdict = Busy
+	case d.ExpectedWait == 0 && len(s.waiting) == 0 && s.running < s.Slots:
+		d.Verdict = Run
+		s.start(r, now)
+	case finish.After(s.limit(r)):
+		d.Verdict = Busy
+	default:
+		d.Verdict = Wait
+		s.insert(r)
+	}
+	if d.Verdict == Busy || d.Verdict == Slow {
+		d.Hint = s.hint(r, now)
+	}
+	return d
+}
+
+// limit is the time until which a queued request must be answered.
+func (s *Scheduler) limit(r *Request) time.Time {
+	if s.NoTarget {
+		return r.Deadline
+	}
+	return r.Target
+}
+
+// hint is the time in which the queue is expected to be worked off.
+func (s *Scheduler) hint(r *Request, now time.Time) time.Duration {
+	turns := float64(len(s.waiting)+1) / float64(max(s.Slots, 1))
+	return scale(s.meanWork(r), turns*s.factor(now))
+}
+
+// ahead counts the waiting requests that are served before a new one.
+func (s *Scheduler) ahead(r *Request) int {
+	return sort.Search(len(s.waiting), func(i int) bool { return s.before(r, s.waiting[i]) })
+}
+
+// before orders the waiting requests: calls of running work first, because refusing one
+// wastes the work of its caller, then by rank, then by the time that is left.
+func (s *Scheduler) before(a, b *Request) bool {
+	switch {
+	case s.NoOrder:
+		return false
+	case a.Nested != b.Nested:
+		return a.Nested
+	case a.Priority != b.Priority:
+		return a.Priority < b.Priority
+	}
+	return a.Target.Before(b.Target)
+}
+
+func (s *Scheduler) insert(r *Request) {
+	i := s.ahead(r)
+	s.waiting = append(s.waiting, nil)
+	copy(s.waiting[i+1:], s.waiting[i:])
+	s.waiting[i] = r
+}
+
+func (s *Scheduler) start(r *Request, now time.Time) {
+	s.running++
+	r.started = now
+	r.slowness = s.factor(now)
+}
+
+// Next starts the waiting requests for which slots are free.
+func (s *Scheduler) Next(now time.Time) []*Request {
+	var started []*Request
+	for s.running < s.Slots && len(s.waiting) > 0 {
+		r := s.waiting[0]
+		s.waiting = append(s.waiting[:0], s.waiting[1:]...)
+		s.start(r, now)
+		started = append(started, r)
+	}
+	return started
+}
+
+// Expired removes and returns the waiting requests that can no longer be answered in time,
+// so that they are refused or moved while there is time left for that.
+func (s *Scheduler) Expired(now time.Time) []*Request {
+	f := s.factor(now)
+	var expired []*Request
+	kept := s.waiting[:0]
+	for _, r := range s.waiting {
+		if now.Add(scale(s.Work(r), f)).After(s.limit(r)) {
+			expired = append(expired, r)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	clear(s.waiting[len(kept):])
+	s.waiting = kept
+	return expired
+}
+
+// Withdraw removes a waiting request whose caller has left. It reports whether it waited.
+func (s *Scheduler) Withdraw(r *Request) bool {
+	for i, w := range s.waiting {
+		if w == r {
+			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Done frees the slot of a request. complete says that its work was done and not broken off.
+func (s *Scheduler) Done(r *Request, complete bool, now time.Time) {
+	s.running--
+	if !complete {
+		return
+	}
+	// The usual work is estimated from the slower of the two ends, because the slowness
+	// may have changed in between.
+	sample := scale(now.Sub(r.started), 1/max(r.slowness, s.factor(now), 1))
+	if s.work == nil || len(s.work) >= maxKinds {
+		s.work = make(map[string]time.Duration)
+	}
+	s.work[r.Kind] = blend(s.work[r.Kind], sample)
+	s.mean = blend(s.mean, sample)
+}
+
+func blend(old, sample time.Duration) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return old + time.Duration(workWeight*float64(sample-old))
+}
--- a/internal/validator/fields.go
+++ b/internal/validator/fields.go
@@ -53,6 +53,24 @@
 	}
 }
 
+// SidecarSections lists the fields of the settings of a sidecar.
+func SidecarSections() []Section {
+	return []Section{
+		{
+			Path:   "",
+			Fields: describe(sidecarFields),
+		},
+		{
+			Path:   "availability-zones[]",
+			Fields: describe(zoneFields),
+		},
+		{
+			Path:   "bounds",
+			Fields: describe(boundsFields),
+		},
+	}
+}
+
 func describe[T any](fields []field[T]) []Field {
 	result := make([]Field, 0, len(fields))
 	for _, f := range fields {
--- a/internal/validator/settings.go
+++ b/internal/validator/settings.go
@@ -240,12 +240,7 @@
 			Default: "info",
 			Help:    "least level of log lines",
 		},
-		set: func(v *value, s *Settings) {
-			if word := v.oneOf("debug", "info", "warn", "error"); word != "" {
-				// The words are slog's own names of its levels.
-				_ = s.LogLevel.UnmarshalText([]byte(word))
-			}
-		},
+		set: func(v *value, s *Settings) { s.LogLevel = v.level() },
 	},
 }
 
