--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -158,6 +158,7 @@
 	s := n.Settings
 	n.endpoint = relayer.EndpointSide{
 		Dialect:      &n.dialect,
+		Service:      s.Service,
 		Address:      s.EndpointAddress,
 		Incarnation:  n.incarnation,
 		Endpoint:     n.knownEndpoint,
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -64,6 +64,7 @@
 	EndpointFailed      Reason = "endpoint-failed"
 	EndpointShed        Reason = "endpoint-shed"
 	EndpointSlow        Reason = "endpoint-slow"
+	EndpointUnknown     Reason = "endpoint-unknown"
 	NotReady            Reason = "not-ready"
 	Overloaded          Reason = "overloaded"
 	NodeUnreachable     Reason = "node-unreachable"
@@ -228,6 +229,13 @@
 		Retry:  RetryElsewhere,
 		Help:   "the endpoint is slow at the moment and another one is likely to be faster",
 	},
+	{
+		Reason: EndpointUnknown,
+		Status: http.StatusServiceUnavailable,
+		Ran:    NotRun,
+		Retry:  RetryElsewhere,
+		Help:   "the node's endpoint has not reported, or the node at the address serves another service",
+	},
 	{
 		Reason: NotReady,
 		Status: http.StatusServiceUnavailable,
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -33,7 +33,9 @@
 
 // EndpointSide admits requests to the node's own endpoint. Set the exported fields before use.
 type EndpointSide struct {
-	Dialect   *Dialect
+	Dialect *Dialect
+	// Service is that of the endpoint.
+	Service   string
 	Address   netip.AddrPort
 	NodeToken string
 	// Incarnation is that of the node's start.
@@ -123,6 +125,13 @@
 }
 
 func (s *EndpointSide) run(ctx context.Context, c *Call, r *http.Request, body func() ([]byte, error), e *Event) (*Answer, error) {
+	if c.Service != s.Service {
+		// The address of a node that is gone may belong to one of another service.
+		return nil, &refuser.Refusal{
+			Reason: refuser.EndpointUnknown,
+			Detail: "this node serves " + s.Service + " and not " + c.Service,
+		}
+	}
 	if err := s.available(); err != nil {
 		return nil, err
 	}
@@ -161,7 +170,7 @@
 	switch {
 	case endpoint.ID == "" || endpoint.ID == misdirected:
 		return &refuser.Refusal{
-			Reason: refuser.NoEndpoint,
+			Reason: refuser.EndpointUnknown,
 			Detail: "the endpoint has not reported",
 		}
 	case !endpoint.Available():
