Recognise the calls of a running request and give them its target

Cause: every request counted as a call of the local endpoint, because callers on a VM send from the VM's own address too. Ruled out: the estimates of work, which were right in the log lines. The endpoint side knows the requests that run at its endpoint; a request whose ID extends one of these IDs is a call of it and takes its target.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -172,7 +172,7 @@
 		Dialect:   &n.dialect,
 		Node:      s.Name,
 		Service:   s.Service,
-		Host:      s.CallersAddress.Addr(),
+		Parent:    n.endpoint.Parent,
 		Table:     n.follower.Table,
 		Splitter:  &n.splitter,
 		View:      &n.view,
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -41,8 +41,10 @@
 	TargetLeft int64 `json:"target-left"`
 	TimeLeft   int64 `json:"time-left"`
 	// Attempt numbers the attempts that may have reached an endpoint, from 1.
-	Attempt int  `json:"attempt"`
-	Final   bool `json:"final"`
+	Attempt int `json:"attempt"`
+	// Repeated is set for a call of a run that was itself a repeat.
+	Repeated bool `json:"repeated,omitempty"`
+	Final    bool `json:"final"`
 	// Guess is the expected work where nothing is known, in microseconds.
 	Guess int64 `json:"guess"`
 	// Version is that of the routing table by which the request was routed.
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -55,11 +54,11 @@
 type CallerSide struct {
 	Dialect   *Dialect
 	NodeToken string
-	// Node is this node's ID, Service that of its endpoint, and Host its IP address, from
-	// which only the local endpoint calls.
+	// Node is this node's ID, and Service that of its endpoint.
 	Node    string
 	Service string
-	Host    netip.Addr
+	// Parent returns the request of the local endpoint that a call with an ID belongs to.
+	Parent func(id string) (Parent, bool)
 	// Table returns the routing table in force, or nil.
 	Table     func() *router.Table
 	Splitter  *router.Splitter
@@ -236,13 +235,15 @@
 		left = min(left, stated)
 	}
 	q.deadline = q.arrival.Add(left)
-	remote, _ := netip.ParseAddrPort(r.RemoteAddr)
-	nested := remote.Addr().Unmap() == s.Host
+	parent, nested := s.Parent(q.call.ID)
 	q.target = q.arrival.Add(route.Target - s.spent(route.Name, stated))
 	if nested {
-		// The target of the caller's own request is not known here, so its call is worth
-		// doing as long as the caller waits.
+		// A call has no worth of its own: it serves its caller's target, and as long as
+		// the caller waits where that has passed.
 		q.target = q.deadline
+		if parent.Target.After(q.arrival) && parent.Target.Before(q.deadline) {
+			q.target = parent.Target
+		}
 	}
 	s.mu.Lock()
 	service := s.Splitter.Choose(route, s.random.IntN(1<<20))
@@ -256,6 +257,7 @@
 	q.call.Kind = route.Kind
 	q.call.Priority = route.Priority
 	q.call.Nested = nested
+	q.call.Repeated = parent.Repeated
 	q.call.Guess = micros(guess)
 	q.call.Attempt = 1
 }
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -58,6 +59,7 @@
 
 	mu          sync.Mutex
 	scheduler   scheduler.Scheduler
+	running     map[*Call]Parent
 	waiting     map[*scheduler.Request]chan error
 	timer       *time.Timer
 	unreachable time.Time
@@ -65,6 +67,47 @@
 	misdirected string
 }
 
+// Parent is a request that runs at the node's own endpoint, as its calls need to know it.
+type Parent struct {
+	ID     string
+	Target time.Time
+	// Repeated is set where the request has reached an endpoint before.
+	Repeated bool
+}
+
+// Parent returns the request for which the endpoint makes a call: an endpoint derives the
+// IDs of its calls from the ID of the request that it runs. A call with an ID of another
+// form counts as a caller's request, which only costs it its precedence.
+func (s *EndpointSide) Parent(id string) (Parent, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.running {
+		if p.ID != "" && len(id) > len(p.ID) && strings.HasPrefix(id, p.ID) {
+			return p, true
+		}
+	}
+	return Parent{}, false
+}
+
+// track notes that a request runs at the endpoint until the returned function is called.
+func (s *EndpointSide) track(c *Call, target time.Time) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running == nil {
+		s.running = make(map[*Call]Parent)
+	}
+	s.running[c] = Parent{
+		ID:       c.ID,
+		Target:   target,
+		Repeated: c.Attempt > 1 || c.Repeated,
+	}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.running, c)
+	}
+}
+
 // ServeHTTP serves a request that another node forwards.
 func (s *EndpointSide) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	token := r.Header.Get(headerNode)
@@ -152,6 +195,7 @@
 			return nil, err
 		}
 	}
+	defer s.track(c, request.Target)()
 	answer, err := s.exchange(ctx, c, r, content, request.Deadline, e)
 	var refused *RefusedError
 	if errors.As(err, &refused) && refused.Reason == refuser.EndpointFailed && s.Broke != nil {
