Tell the load of an endpoint to the nodes that use it

Cause: a node learned an endpoint's load from answers only, each pair of nodes exchanges one or two requests a second, and load shifts within half a second. Ruled out: asking several nodes before each request, which costs a round trip each.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -20,6 +20,7 @@
 	"github.com/gentianlever/gentianlever/internal/forwarder"
 	"github.com/gentianlever/gentianlever/internal/registrar"
 	"github.com/gentianlever/gentianlever/internal/relayer"
+	"github.com/gentianlever/gentianlever/internal/reporter"
 	"github.com/gentianlever/gentianlever/internal/router"
 	"github.com/gentianlever/gentianlever/internal/storer"
 	"github.com/gentianlever/gentianlever/internal/validator"
@@ -75,6 +76,7 @@
 	toEndpoint  exchanger.Exchanger
 	callers     relayer.CallerSide
 	endpoint    relayer.EndpointSide
+	loads       relayer.Loads
 	membership
 	departures
 }
@@ -166,7 +168,16 @@
 		Stopping:     n.stopping.Load,
 		MaxBodyBytes: n.maxBodyBytes,
 		Observed:     n.observed,
-		LoadChanged:  n.loadChanged,
+		LoadChanged:  n.loads.Changed,
+		Heard:        n.loads.Heard,
+	}
+	n.loads = relayer.Loads{
+		Address: s.LoadAddress,
+		Node:    s.Name,
+		Load:    n.endpoint.Load,
+		Received: func(node string, load reporter.Load) {
+			n.view.Report(node, load, time.Now())
+		},
 	}
 	n.callers = relayer.CallerSide{
 		Dialect:   &n.dialect,
--- a/internal/conductor/endpoint.go
+++ b/internal/conductor/endpoint.go
@@ -21,9 +21,14 @@
 	restoreLimit = 2 * time.Second
 	// departureRows bounds the rows of one node's departed endpoints.
 	departureRows = 100
-	// probeInterval separates the probes of an endpoint that is known to be slow, so that
-	// the end of its slow time is noticed. Neighbours change within half a second.
-	probeInterval = 80 * time.Millisecond
+	// slowProbe is the age of the slowness from which a slow endpoint is probed: requests go
+	// elsewhere then, so that no answer would tell the end of its slow time.
+	slowProbe = 50 * time.Millisecond
+	// idleProbe is the age from which one is probed that was not slow. Neighbours change
+	// within half a second.
+	idleProbe = 200 * time.Millisecond
+	// probeTick is the precision of both.
+	probeTick    = 25 * time.Millisecond
 	probeTimeout  = 500 * time.Millisecond
 )
 
@@ -164,12 +169,17 @@
 	n.announcer.Drain()
 }
 
-// watchSlowness probes the endpoint while it is slow: requests go elsewhere then, so
-// that no answer would tell the end of the slow time.
+// watchSlowness probes the endpoint where answers do not tell how slow it is.
 func (n *Conductor) watchSlowness(ctx context.Context) error {
-	for sleep(ctx, probeInterval) {
+	for sleep(ctx, probeTick) {
 		path := n.healthPath()
-		if path == "" || !n.knownEndpoint().Available() || n.endpoint.LastSlowness() < 2*reporter.UsualSlowness {
+		slowness, age := n.endpoint.LastSlowness()
+		limit := idleProbe
+		if slowness >= 2*reporter.UsualSlowness {
+			limit = slowProbe
+		}
+		// An endpoint that does not tell its slowness has none to ask for.
+		if path == "" || slowness == 0 || age < limit || !n.knownEndpoint().Available() {
 			continue
 		}
 		probing, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -111,6 +111,8 @@
 	n.joinedAt.Store(time.Now().UnixNano())
 	n.Log.Info("membership-started")
 	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	n.loads.Key = key
+	p.Go(n.loads.Run)
 	p.Go(n.udp.Run)
 	p.Go(n.announcer.Run)
 	return p.Wait()
--- a/internal/conductor/observe.go
+++ b/internal/conductor/observe.go
@@ -9,9 +9,6 @@
 	"github.com/gentianlever/gentianlever/internal/relayer"
 )
 
-// loadChanged tells the nodes that use the endpoint of its load.
-func (n *Conductor) loadChanged() {}
-
 // observed logs what became of a request.
 func (n *Conductor) observed(e relayer.Event) {
 	level := slog.LevelInfo
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -52,6 +52,8 @@
 	Observed func(e Event)
 	// LoadChanged is called after each change of the load; it must not block.
 	LoadChanged func()
+	// Heard is called with the address of a node that sends a request.
+	Heard func(from netip.Addr)
 	// Broke is called after the endpoint broke the connection of a request.
 	Broke func(c *Call, fingerprint string)
 	// Quarantined returns a refusal for requests that crash endpoints; it may be nil.
@@ -120,6 +122,9 @@
 		writeRefused(w, asRefused(err))
 		return
 	}
+	if from, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
+		s.Heard(from.Addr().Unmap())
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), fromMicros(c.TimeLeft))
 	defer cancel()
 	answer, err := s.Run(ctx, c, r, func() ([]byte, error) {
@@ -512,11 +517,12 @@
 }
 
 // LastSlowness returns what the endpoint said last of the time that work takes, in percent
-// of the usual, however old that is.
-func (s *EndpointSide) LastSlowness() int {
+// of the usual, and its age.
+func (s *EndpointSide) LastSlowness() (int, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.scheduler.LastSlowness()
+	_, age := s.scheduler.Slowness(time.Now())
+	return s.scheduler.LastSlowness(), age
 }
 
 // Probe asks the endpoint's health path, which tells its load without work.
--- a/internal/relayer/endpointside_test.go
+++ b/internal/relayer/endpointside_test.go
@@ -82,6 +82,7 @@
 		MaxBodyBytes: func() int64 { return 1 << 20 },
 		Observed:     func(Event) {},
 		LoadChanged:  func() {},
+		Heard:        func(netip.Addr) {},
 	}
 	e.report(t, 1, false, slots)
 	return e
