Serve requests whose target has passed where they are served soonest

Cause: the time that earlier attempts of a caller took was inferred from the longest deadline seen on the route, but callers state different deadlines from the start. Ruled out: too few slots; 1 to 5 of 12 were in use at the refusals. The inference is gone, and a request that even an idle endpoint would answer late is held to its deadline and ordered after the others.

--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -78,9 +78,7 @@
 	once   sync.Once
 	mu     sync.Mutex
 	random *rand.Rand
-	// longest holds the longest deadline seen on each route: that of a first attempt.
-	longest map[string]time.Duration
-	work    map[string]time.Duration
+	work   map[string]time.Duration
 }
 
 // request is one request in progress.
@@ -105,7 +103,6 @@
 func (s *CallerSide) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.once.Do(func() {
 		s.random = rand.New(rand.NewPCG(s.Seed, s.Seed))
-		s.longest = make(map[string]time.Duration)
 		s.work = make(map[string]time.Duration)
 	})
 	if s.Closing() {
@@ -236,7 +233,7 @@
 	}
 	q.deadline = q.arrival.Add(left)
 	parent, nested := s.Parent(q.call.ID)
-	q.target = q.arrival.Add(route.Target - s.spent(route.Name, stated))
+	q.target = q.arrival.Add(route.Target)
 	if nested {
 		// A call has no worth of its own: it serves its caller's target, and as long as
 		// the caller waits where that has passed.
@@ -262,18 +259,6 @@
 	q.call.Attempt = 1
 }
 
-// spent returns the part of a caller's time that earlier attempts took: callers state what
-// is left, and the longest time seen on a route is that of a first attempt.
-func (s *CallerSide) spent(route string, stated time.Duration) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.longest) > maxRoutes {
-		clear(s.longest)
-	}
-	s.longest[route] = max(s.longest[route], stated)
-	return s.longest[route] - stated
-}
-
 // maxRoutes bounds the memory of routes that are no longer in the table.
 const maxRoutes = 10000
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -49,6 +49,8 @@
 
 	started  time.Time
 	slowness float64
+	// late is set where even an idle endpoint would have missed the target.
+	late bool
 }
 
 // Verdict is a decision on a request.
@@ -160,23 +162,25 @@
 // Offer decides on a request. One with the verdict Run holds a slot until Done, one with
 // the verdict Wait until Next or Expired returns it or Withdraw removes it.
 func (s *Scheduler) Offer(r *Request, now time.Time) Decision {
+	usual := now.Add(s.Work(r))
+	r.late = usual.After(r.Target)
 	ahead := s.ahead(r)
 	d := Decision{}
 	d.ExpectedWait, d.ExpectedWork = s.expect(r, ahead, now)
 	finish := now.Add(d.ExpectedWait + d.ExpectedWork)
-	usual := now.Add(s.Work(r))
+	beyond := finish.After(s.limit(r))
 	slow := s.factor(now)*reporter.UsualSlowness >= slowThreshold
 	switch {
 	case usual.After(r.Deadline):
 		d.Verdict = Hopeless
-	case finish.After(r.Target) && !r.Final && !s.NoTarget && slow:
+	case beyond && !r.Final && slow:
 		d.Verdict = Slow
-	case finish.After(r.Target) && !r.Final && !s.NoTarget:
+	case beyond && !r.Final:
 		d.Verdict = Busy
-	case d.ExpectedWait == 0 && len(s.waiting) == 0 && s.running < s.Slots:
+	case d.ExpectedWait == 0 && len(s.waiting) == 0 && s.running < s.Slots && !finish.After(r.Deadline):
 		d.Verdict = Run
 		s.start(r, now)
-	case finish.After(s.limit(r)):
+	case beyond:
 		d.Verdict = Busy
 	default:
 		d.Verdict = Wait
@@ -188,9 +192,10 @@
 	return d
 }
 
-// limit is the time until which a queued request must be answered.
+// limit is the time until which a request is worth waiting for: its target, or its
+// deadline where the target has passed.
 func (s *Scheduler) limit(r *Request) time.Time {
-	if s.NoTarget {
+	if s.NoTarget || r.late {
 		return r.Deadline
 	}
 	return r.Target
@@ -213,6 +218,8 @@
 	switch {
 	case s.NoOrder:
 		return false
+	case a.late != b.late && !a.Nested && !b.Nested:
+		return b.late
 	case a.Nested != b.Nested:
 		return a.Nested
 	case a.Priority != b.Priority:
