Learn the crowding of an endpoint from all requests

Cause: only requests without calls of their own (3 in 10 at the lookup service) taught how an endpoint slows down, so most of an overload was over before it was known. The time that a run waits for its own calls is now measured by the node that carries them and left out of the sample.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -184,6 +184,7 @@
 		Node:      s.Name,
 		Service:   s.Service,
 		Parent:    n.endpoint.Parent,
+		Called:    n.endpoint.Called,
 		Table:     n.follower.Table,
 		Splitter:  &n.splitter,
 		View:      &n.view,
--- a/internal/conductor/endpoint.go
+++ b/internal/conductor/endpoint.go
@@ -29,7 +29,7 @@
 	idleProbe = 200 * time.Millisecond
 	// probeTick is the precision of both.
 	probeTick    = 25 * time.Millisecond
-	probeTimeout  = 500 * time.Millisecond
+	probeTimeout = 500 * time.Millisecond
 )
 
 // departures holds what is kept of endpoints that have left.
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -57,8 +57,10 @@
 	// Node is this node's ID, and Service that of its endpoint.
 	Node    string
 	Service string
-	// Parent returns the request of the local endpoint that a call with an ID belongs to.
+	// Parent returns the request of the local endpoint that a call with an ID belongs to,
+	// and Called takes the time of such a call.
 	Parent func(id string) (Parent, bool)
+	Called func(p Parent, took time.Duration)
 	// Table returns the routing table in force, or nil.
 	Table     func() *router.Table
 	Splitter  *router.Splitter
@@ -84,6 +86,7 @@
 // request is one request in progress.
 type request struct {
 	call     Call
+	parent   Parent
 	route    *router.Route
 	arrival  time.Time
 	target   time.Time
@@ -115,6 +118,7 @@
 		defer cancel()
 		var answer *Answer
 		answer, err = s.run(ctx, r, q)
+		s.Called(q.parent, time.Since(q.arrival))
 		if err == nil {
 			s.respond(w, q, answer)
 			return
@@ -233,6 +237,7 @@
 	}
 	q.deadline = q.arrival.Add(left)
 	parent, nested := s.Parent(q.call.ID)
+	q.parent = parent
 	q.target = q.arrival.Add(route.Target)
 	if nested {
 		// A call has no worth of its own: it serves its caller's target, and as long as
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -75,6 +75,8 @@
 	Target time.Time
 	// Repeated is set where the request has reached an endpoint before.
 	Repeated bool
+
+	request *scheduler.Request
 }
 
 // Parent returns the request for which the endpoint makes a call: an endpoint derives the
@@ -83,15 +85,23 @@
 func (s *EndpointSide) Parent(id string) (Parent, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for request, p := range s.running {
+	for _, p := range s.running {
 		if p.ID != "" && len(id) > len(p.ID) && strings.HasPrefix(id, p.ID) {
-			request.Called = true
 			return p, true
 		}
 	}
 	return Parent{}, false
 }
 
+// Called notes the time that a call of a running request took.
+func (s *EndpointSide) Called(p Parent, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.request != nil {
+		p.request.Elsewhere += took
+	}
+}
+
 // track notes that a request runs at the endpoint until the returned function is called.
 func (s *EndpointSide) track(c *Call, request *scheduler.Request) func() {
 	s.mu.Lock()
@@ -103,6 +113,7 @@
 		ID:       c.ID,
 		Target:   request.Target,
 		Repeated: c.Attempt > 1 || c.Repeated,
+		request:  request,
 	}
 	return func() {
 		s.mu.Lock()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -49,9 +49,9 @@
 
 	started  time.Time
 	slowness float64
-	// Called is set once the request's run has made a call of its own, whose time says
-	// nothing of this endpoint.
-	Called bool
+	// Elsewhere is the time for which the request's run waited for its own calls, which
+	// says nothing of this endpoint.
+	Elsewhere time.Duration
 
 	// occupancy is the number of requests that ran when this one started, itself included.
 	occupancy int
@@ -302,8 +302,8 @@
 	if s.work == nil || len(s.work) >= maxKinds {
 		s.work = make(map[string]time.Duration)
 	}
-	if !r.Called {
-		s.crowd.observe(r.Kind, r.occupancy, s.Slots, sample)
+	if own := scale(now.Sub(r.started)-r.Elsewhere, 1/max(r.slowness, 1)); own > 0 {
+		s.crowd.observe(r.Kind, r.occupancy, s.Slots, own)
 	}
 	sample = scale(sample, 1/s.crowd.ratio(r.occupancy))
 	s.work[r.Kind] = blend(s.work[r.Kind], sample)
