--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -21,6 +21,9 @@
 	// workWeight is the weight of a new sample in the estimate of a kind's work: the mean
 	// of about the last 20.
 	workWeight = 0.05
+	// lateShare is the share of the slots in use from which late work is turned away. Work
+	// that starts while an endpoint is slow holds its slot after the slow time has ended.
+	lateShare = 0.5
 	// maxKinds bounds the estimates of kinds that are no longer used.
 	maxKinds = 10000
 	// slowThreshold is the slowness, in percent of the usual, from which an endpoint
@@ -185,6 +188,9 @@
 		d.Verdict = Slow
 	case beyond && !r.Final:
 		d.Verdict = Busy
+	case (beyond || r.late) && !r.Nested && s.crowded():
+		// Late work would keep slots from requests that can still meet their target.
+		d.Verdict = Busy
 	case d.ExpectedWait == 0 && len(s.waiting) == 0 && s.running < s.capacity(r) && !finish.After(r.Deadline):
 		d.Verdict = Run
 		s.start(r, now)
@@ -200,6 +206,11 @@
 	return d
 }
 
+// crowded reports whether so many slots are in use that late work is turned away.
+func (s *Scheduler) crowded() bool {
+	return float64(s.running) >= lateShare*float64(s.Capacity()) || len(s.waiting) > 0
+}
+
 // limit is the time until which a request is worth waiting for: its target, or its
 // deadline where the target has passed.
 func (s *Scheduler) limit(r *Request) time.Time {
