Leave a margin for the variance of work where requests wait

Cause: the queue took requests whose mean work just fitted before their target; work varies by a third and more, so those that waited longest were late.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -21,6 +21,11 @@
 	// workWeight is the weight of a new sample in the estimate of a kind's work: the mean
 	// of about the last 20.
 	workWeight = 0.05
+	// queueMargin is the expected work, as a factor, that must fit before the target of a
+	// request that waits: work varies, and one that waited to the last moment is late.
+	queueMargin = 1.5
+	// startMargin is the same for one that is about to start.
+	startMargin = 1.2
 	// lateShare is the share of the slots in use from which late work is turned away. Work
 	// that starts while an endpoint is slow holds its slot after the slow time has ended.
 	lateShare = 0.5
@@ -194,7 +199,7 @@
 	case d.ExpectedWait == 0 && len(s.waiting) == 0 && s.running < s.capacity(r) && !finish.After(r.Deadline):
 		d.Verdict = Run
 		s.start(r, now)
-	case beyond:
+	case beyond || now.Add(d.ExpectedWait + scale(d.ExpectedWork, queueMargin)).After(s.limit(r)):
 		d.Verdict = Busy
 	default:
 		d.Verdict = Wait
@@ -280,7 +285,7 @@
 	var expired []*Request
 	kept := s.waiting[:0]
 	for _, r := range s.waiting {
-		if now.Add(scale(s.Work(r), f)).After(s.limit(r)) {
+		if now.Add(scale(s.Work(r), f*startMargin)).After(s.limit(r)) {
 			expired = append(expired, r)
 			continue
 		}
