--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -45,6 +45,9 @@
 	// between zones are paid for, so a large body stays in its zone unless that takes
 	// noticeably longer.
 	transferPerKiB = 500 * time.Microsecond
+	// crossingShare is the part of the work by which an endpoint in another zone must be
+	// better, because every answer that crosses zones is paid for.
+	crossingShare = 4
 	// timeoutSlack is what a node keeps of the time left for its own answer.
 	timeoutSlack = 2 * time.Millisecond
 )
@@ -382,7 +385,7 @@
 	for i := range found {
 		found[i].Distance = s.Distance(found[i].peer.Zone)
 		if found[i].Distance > 0 {
-			found[i].Transfer = time.Duration(len(q.content)>>10) * transferPerKiB
+			found[i].Transfer = fromMicros(q.call.Guess)/crossingShare + time.Duration(len(q.content)>>10)*transferPerKiB
 		}
 		options[i] = found[i].Candidate
 	}
