Let twelve nodes wait for table changes at the store

The nodes with the lowest digests of their names wait; the others learn of a change from members and ask the store only where the member does not answer. Ruled out: one elected node, which a single cut would silence, and polling.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -131,6 +131,7 @@
 	n.follower.Wait = n.store.WaitTable
 	n.follower.Fetch = n.fetchTable
 	n.follower.Decode = platform.DecodeTable
+	n.follower.Active = n.followsStore
 	n.follower.Applied = n.tableApplied
 	n.follower.Failed = n.followFailed
 	n.budget = budgeter.Budgeter{
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/subtle"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net/http"
 	"net/netip"
@@ -165,6 +166,31 @@
 	return at != 0 && (n.members.Load() > 1 || time.Since(time.Unix(0, at)) > lonelyStart)
 }
 
+// tableFollowers is the number of nodes that wait for changes of the routing table at the
+// store. Each call is paid for, so that not all nodes do; twelve are enough that a fault
+// which cuts a third of the nodes off leaves some with near certainty.
+const tableFollowers = 12
+
+// followsStore reports whether this node is one of those that wait at the store: the ones
+// with the lowest digest of their names. Each node finds out for itself, so that any of
+// them may fail; where nodes know different members, a few more of them wait.
+func (n *Conductor) followsStore() bool {
+	own := rank(n.Settings.Name)
+	lower := 0
+	for _, m := range n.announcer.Present() {
+		if m.ID != n.Settings.Name && m.State == announcer.Alive && rank(m.ID) < own {
+			lower++
+		}
+	}
+	return lower < tableFollowers
+}
+
+func rank(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
+
 func (n *Conductor) nodeCount() int { return int(max(n.members.Load(), 1)) }
 
 func (n *Conductor) membersChanged(members []announcer.Member) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -28,6 +28,9 @@
 	// bound keeps a VM behind for less than the 2 s in which a table must be in force.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = time.Second
+	// idleInterval is the time after which a node that does not wait at the store looks
+	// whether it should. It is well under the 2 s in which a table must be in force.
+	idleInterval = 500 * time.Millisecond
 	// fetchTimeout bounds a fetch from a member.
 	fetchTimeout = time.Second
 )
@@ -64,6 +67,9 @@
 	// Fetch reads the encoded table of a member.
 	Fetch  func(ctx context.Context, member string) ([]byte, error)
 	Decode func(encoded []byte) (*router.Table, error)
+	// Active reports whether this node waits for changes at the store. Others learn of them
+	// from members; they only read the table once, at their start. Nil means always.
+	Active func() bool
 	// Applied is called after a version is put in force; source names where it came from.
 	Applied func(v *Version, source string)
 	// Failed is called with an error and what it interrupted; nil after the first
@@ -123,6 +129,13 @@
 	retry := retryFirst
 	position, known := uint64(0), false
 	for ctx.Err() == nil {
+		if f.Table() != nil && f.Active != nil && !f.Active() {
+			known = false
+			if !sleep(ctx, idleInterval) {
+				return
+			}
+			continue
+		}
 		snapshot, operation, err := f.next(ctx, position, known)
 		var lost *HistoryError
 		switch {
@@ -195,18 +208,31 @@
 			if h.version <= f.Revision() {
 				continue
 			}
-			fetching, cancel := context.WithTimeout(ctx, fetchTimeout)
-			encoded, err := f.Fetch(fetching, h.member)
-			cancel()
-			if err != nil {
-				f.report("fetch", err)
-				continue
-			}
-			f.Offer(encoded, "member "+h.member)
+			f.fetch(ctx, h)
 		}
 	}
 }
 
+// fetch gets a higher version from the member that has it, or from the store where the
+// member does not answer.
+func (f *Follower) fetch(ctx context.Context, h hint) {
+	fetching, cancel := context.WithTimeout(ctx, fetchTimeout)
+	encoded, err := f.Fetch(fetching, h.member)
+	cancel()
+	if err == nil {
+		f.Offer(encoded, "member "+h.member)
+		return
+	}
+	f.report("fetch", err)
+	reading, cancel := context.WithTimeout(ctx, fetchTimeout)
+	snapshot, err := f.Read(reading)
+	cancel()
+	f.report("read", err)
+	if err == nil && len(snapshot.Encoded) > 0 {
+		f.Offer(snapshot.Encoded, "store")
+	}
+}
+
 // Offer puts an encoded table in force if its version is higher than the one in force. It
 // reports whether it did.
 func (f *Follower) Offer(encoded []byte, source string) bool {
