Serve the metrics of a sidecar

Cause: the metrics address served one line. A table of metrics drives the scope (tally) and the text (its Prometheus reporter); label values are bounded. Ruled out: the home-made text of internal/counter, which has no histograms; it stays for the product's own node.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -18,6 +18,7 @@
 	"github.com/gentianlever/gentianlever/internal/exchanger"
 	"github.com/gentianlever/gentianlever/internal/follower"
 	"github.com/gentianlever/gentianlever/internal/forwarder"
+	"github.com/gentianlever/gentianlever/internal/meter"
 	"github.com/gentianlever/gentianlever/internal/registrar"
 	"github.com/gentianlever/gentianlever/internal/relayer"
 	"github.com/gentianlever/gentianlever/internal/reporter"
@@ -62,7 +63,9 @@
 	Reload <-chan *validator.Sidecar
 
 	incarnation uint64
+	meter       meter.Meter
 	stopping    atomic.Bool
+	storeLost   atomic.Bool
 	bounds      atomic.Pointer[validator.Bounds]
 	dialect     relayer.Dialect
 	store       platform.Store
@@ -83,6 +86,10 @@
 
 // Run serves until ctx ends and then shuts down gracefully.
 func (n *Conductor) Run(ctx context.Context) error {
+	if err := n.meter.Open(); err != nil {
+		return err
+	}
+	defer func() { _ = n.meter.Close() }() // the process ends with it
 	n.build()
 	listeners, err := n.listen()
 	if err != nil {
@@ -101,6 +108,7 @@
 	p.Go(n.restoreDepartures)
 	p.Go(n.watchSlowness)
 	p.Go(n.watchSettings)
+	p.Go(n.updateGauges)
 	p.Go(func(background context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -237,13 +245,6 @@
 	n.Log.Info("table-available", "operation", operation, "version", n.follower.Revision())
 }
 
-// storeCalled logs failed calls of the store; successes are counted only.
-func (n *Conductor) storeCalled(operation string, err error) {
-	if err != nil {
-		n.Log.Warn("store-call-failed", "operation", operation, "error", err.Error())
-	}
-}
-
 func (n *Conductor) ready() bool {
 	return !n.stopping.Load() && n.follower.Table() != nil && n.joined()
 }
@@ -333,7 +334,7 @@
 		{
 			place:   &l.metrics,
 			address: s.MetricsAddress,
-			handler: http.HandlerFunc(n.serveMetrics),
+			handler: n.meter.Handler(),
 			idle:    serverIdle,
 		},
 	} {
--- a/internal/conductor/endpoint.go
+++ b/internal/conductor/endpoint.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gentianlever/gentianlever/internal/meter"
 	"github.com/gentianlever/gentianlever/internal/registrar"
 	"github.com/gentianlever/gentianlever/internal/reporter"
 	"github.com/gentianlever/gentianlever/internal/storer"
@@ -142,6 +143,7 @@
 }
 
 func (n *Conductor) reportRejected(id string, err error) {
+	n.meter.Add(meter.ReportsRejected, 1)
 	n.Log.Warn("report-rejected", "endpoint", id, "error", err.Error())
 }
 
@@ -185,6 +187,7 @@
 		probing, cancel := context.WithTimeout(ctx, probeTimeout)
 		err := n.endpoint.Probe(probing, path)
 		cancel()
+		n.meter.Add(meter.Probes, 1, probeOutcome(err))
 		if err != nil && ctx.Err() == nil {
 			n.Log.Warn("probe-failed", "error", err.Error())
 		}
@@ -192,6 +195,13 @@
 	return nil
 }
 
+func probeOutcome(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "answered"
+}
+
 // healthPath returns the path of the endpoint's health check, empty where none is known.
 func (n *Conductor) healthPath() string {
 	t := n.follower.Table()
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -49,6 +49,7 @@
 	nodes     atomic.Pointer[nodesService]
 	members   atomic.Int64
 	joinedAt  atomic.Int64
+	membersAt atomic.Int64
 }
 
 // nodesService is what answers other nodes once the membership key is known.
@@ -195,6 +196,7 @@
 
 func (n *Conductor) membersChanged(members []announcer.Member) {
 	n.members.Store(int64(len(members)))
+	n.membersAt.Store(time.Now().UnixNano())
 	peers := make([]relayer.Peer, 0, len(members))
 	for _, m := range members {
 		peers = append(peers, relayer.Peer{
--- a/internal/conductor/observe.go
+++ b/internal/conductor/observe.go
@@ -5,12 +5,96 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"strconv"
+	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/gentianlever/gentianlever/internal/meter"
 	"github.com/gentianlever/gentianlever/internal/relayer"
+	"github.com/gentianlever/gentianlever/internal/scheduler"
+	"github.com/gentianlever/gentianlever/internal/storer"
 )
 
-// observed logs what became of a request.
+// gaugeInterval separates the updates of gauges; the scope transfers them once a second.
+const gaugeInterval = time.Second
+
+// outcomeOf names how a request ended: a refusal reason or the class of the status.
+func outcomeOf(e relayer.Event) string {
+	if e.Refused != nil {
+		return string(e.Refused.Reason)
+	}
+	return strconv.Itoa(e.Status/100) + "xx"
+}
+
+// measure counts what became of a request.
+func (n *Conductor) measure(e relayer.Event) {
+	if e.Side == relayer.SideEndpoint {
+		n.meter.Add(meter.EndpointRequests, 1, outcomeOf(e))
+		if e.Decision.Verdict == scheduler.Run || e.Decision.Verdict == scheduler.Wait {
+			n.meter.Observe(meter.QueueSeconds, e.Waited)
+		}
+		if e.Arrived {
+			n.meter.Observe(meter.EndpointSeconds, e.Served)
+		}
+		return
+	}
+	service := e.Call.Service
+	if service == "" {
+		service = "none"
+	}
+	n.meter.Add(meter.CallerRequests, 1, service, outcomeOf(e))
+	n.meter.Observe(meter.CallerSeconds, e.Served, service)
+	for _, a := range e.Attempts {
+		n.meter.Add(meter.Attempts, 1, a.Outcome)
+	}
+	if last := len(e.Attempts) - 1; e.Refused == nil && last >= 0 {
+		n.meter.Observe(meter.AddedSeconds, e.Served-e.Attempts[last].Took)
+	}
+}
+
+// updateGauges sets the gauges until ctx ends.
+func (n *Conductor) updateGauges(ctx context.Context) error {
+	for sleep(ctx, gaugeInterval) {
+		load := n.endpoint.Load()
+		n.meter.Set(meter.Members, float64(n.members.Load()))
+		n.meter.Set(meter.MembersAge, time.Since(time.Unix(0, n.membersAt.Load())).Seconds())
+		n.meter.Set(meter.Running, float64(load.InFlight))
+		n.meter.Set(meter.Waiting, float64(load.QueuedShort))
+		n.meter.Set(meter.Capacity, float64(load.Slots))
+		n.meter.Set(meter.Slowness, float64(load.Slowness))
+		if v := n.follower.Current(); v != nil {
+			n.meter.Set(meter.TableVersion, float64(v.Table.Version))
+			n.meter.Set(meter.TableAge, time.Since(v.Received).Seconds())
+		}
+	}
+	return nil
+}
+
+// storeCalled counts calls of the store, and logs failed ones and the first that succeeds
+// after them.
+func (n *Conductor) storeCalled(operation string, err error) {
+	var unknown *storer.UnknownError
+	outcome := "done"
+	switch {
+	case errors.As(err, &unknown):
+		outcome = "unknown"
+	case err != nil:
+		outcome = "unavailable"
+	}
+	n.meter.Add(meter.StoreCalls, 1, operation, outcome)
+	lost := n.storeLost.Swap(err != nil)
+	switch {
+	case err != nil:
+		n.Log.Warn("store-call-failed", "operation", operation, "outcome", outcome, "first", !lost, "error", err.Error())
+	case lost:
+		n.Log.Info("store-regained", "operation", operation)
+	}
+}
+
+// observed counts and logs what became of a request.
 func (n *Conductor) observed(e relayer.Event) {
+	n.measure(e)
 	level := slog.LevelInfo
 	if e.Refused != nil || e.Status >= http.StatusInternalServerError {
 		level = slog.LevelWarn
@@ -27,14 +111,12 @@
 		slog.Int("attempt", c.Attempt),
 		slog.Bool("nested", c.Nested),
 	}
-	outcome := "answered"
 	if e.Refused != nil {
-		outcome = string(e.Refused.Reason)
 		attrs = append(attrs, slog.String("ran", string(e.Refused.Row().Ran)), slog.String("detail", e.Refused.Detail))
 	}
-	attrs = append(attrs, slog.String("outcome", outcome), slog.Int("status", e.Status),
+	attrs = append(attrs, slog.String("outcome", outcomeOf(e)), slog.Int("status", e.Status),
 		slog.String("endpoint", e.Endpoint), slog.Duration("served", e.Served))
-	if e.Side == "endpoint" {
+	if e.Side == relayer.SideEndpoint {
 		attrs = append(attrs, slog.String("verdict", e.Decision.Verdict.String()),
 			slog.Duration("expected-wait", e.Decision.ExpectedWait), slog.Duration("expected-work", e.Decision.ExpectedWork),
 			slog.Duration("waited", e.Waited), slog.Int("slowness", e.Slowness), slog.Duration("slowness-age", e.SlownessAge),
@@ -56,8 +138,3 @@
 	}
 	return lines
 }
-
-func (n *Conductor) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	_, _ = fmt.Fprintf(w, "gentianlever_members %d\n", n.members.Load())
-}
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -203,7 +203,7 @@
 		Origin: s.Service,
 	}
 	q.event = Event{
-		Side:    "caller",
+		Side:    SideCaller,
 		Call:    &q.call,
 		Started: now,
 	}
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -166,7 +166,7 @@
 // called once the request has a slot. Errors are *RefusedError.
 func (s *EndpointSide) Run(ctx context.Context, c *Call, r *http.Request, body func() ([]byte, error)) (*Answer, error) {
 	e := Event{
-		Side:    "endpoint",
+		Side:    SideEndpoint,
 		Call:    c,
 		Started: time.Now(),
 	}
--- a/internal/relayer/event.go
+++ b/internal/relayer/event.go
@@ -10,9 +10,15 @@
 	"github.com/gentianlever/gentianlever/internal/scheduler"
 )
 
+// The sides of a node.
+const (
+	SideCaller   = "caller"
+	SideEndpoint = "endpoint"
+)
+
 // Event is what became of a request on one side of a node, with the inputs that decided it.
 type Event struct {
-	// Side is "caller" or "endpoint".
+	// Side is SideCaller or SideEndpoint.
 	Side    string
 	Call    *Call
 	Started time.Time
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -199,7 +199,7 @@
 	case d.ExpectedWait == 0 && len(s.waiting) == 0 && s.running < s.capacity(r) && !finish.After(r.Deadline):
 		d.Verdict = Run
 		s.start(r, now)
-	case beyond || now.Add(d.ExpectedWait + scale(d.ExpectedWork, queueMargin)).After(s.limit(r)):
+	case beyond || now.Add(d.ExpectedWait+scale(d.ExpectedWork, queueMargin)).After(s.limit(r)):
 		d.Verdict = Busy
 	default:
 		d.Verdict = Wait
