--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -18,7 +18,7 @@
 	// slownessMemory is the age at which a report of slowness has lost two thirds of its
 	// weight. Neighbours change within half a second.
 	slownessMemory = 400 * time.Millisecond
-	// usualFactor is the expected factor of the usual time where nothing recent is known:
+	// usualFactor is the expected factor of the usual time where what is known is old:
 	// a quarter of the time work takes several times as long, but a node passes a request
 	// on while its endpoint is slow.
 	usualFactor = 1.3
@@ -71,7 +71,11 @@
 		known = math.Exp(-float64(c.Age) / float64(slownessMemory))
 		busy = math.Exp(-float64(c.Age) / float64(loadMemory))
 	}
-	factor := usualFactor
+	// An endpoint of which nothing is known yet is tried, so that new ones get work at once.
+	factor := 1.0
+	if c.Age >= 0 {
+		factor = usualFactor
+	}
 	if c.Load.Slowness > 0 {
 		factor = known*float64(c.Load.Slowness)/reporter.UsualSlowness + (1-known)*usualFactor
 	}
