Find restarted nodes while the store is away; bind departures that state no start

Members now ping those that left or failed within a minute, the key is a setting, and a node gets the table from whoever pings it. A departure without a start now covers every start up to its time. TestDepartureOfUnknownEndpointHolds failed before. Also: the node's own endpoint is placed by its exact load; before, its load aged like that of others. Ruled out: seeds, which the platform gives only to a role that serves control on other VMs too.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -48,6 +48,9 @@
 	maxVerified  = 5
 	syncInterval = 60 * time.Second
 	syncTimeout  = 5 * time.Second
+	// revisitPeriod is the time for which members that failed or left are pinged; a VM
+	// that starts again does so within seconds.
+	revisitPeriod = time.Minute
 	// failedRetention is longer than any loss of contact between regions seen so far.
 	failedRetention = 6 * time.Hour
 	lateTick        = 2 * pingInterval
--- a/internal/announcer/ping.go
+++ b/internal/announcer/ping.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sort"
 	"time"
 )
 
@@ -46,6 +47,10 @@
 	for _, m := range a.targets() {
 		out = append(out, a.ping(m, revision, suspects))
 	}
+	if m, ok := a.revisit(now); ok {
+		a.sequence++
+		out = append(out, a.address(m, Ping, a.sequence, revision, suspects))
+	}
 	a.mu.Unlock()
 	a.send(out)
 }
@@ -93,6 +98,23 @@
 	}
 }
 
+// revisit returns a member that failed or left a short while ago. Its VM may have started
+// again and, with the table out of reach, has no way to find the others by itself.
+func (a *Announcer) revisit(now time.Time) (Member, bool) {
+	var gone []Member
+	for id, r := range a.members {
+		if id != a.Self.ID && !r.member.Present() && now.Sub(r.since) < revisitPeriod {
+			gone = append(gone, r.member)
+		}
+	}
+	if len(gone) == 0 {
+		return Member{}, false
+	}
+	// The order of a map is not seeded.
+	sort.Slice(gone, func(i, j int) bool { return gone[i].ID < gone[j].ID })
+	return gone[a.random.IntN(len(gone))], true
+}
+
 // targets returns the next member of the round and members to verify.
 func (a *Announcer) targets() []Member {
 	var targets []Member
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -200,6 +200,7 @@
 		Budget:    &n.budget,
 		Exchanger: &n.toNodes,
 		Local:     n.endpoint.Run,
+		LocalLoad: n.endpoint.Load,
 		Distance:  n.distance,
 		Closing:   n.stopping.Load,
 		Observed:  n.observed,
--- a/internal/conductor/endpoint.go
+++ b/internal/conductor/endpoint.go
@@ -106,16 +106,9 @@
 // leave takes the statement of the endpoint that it leaves.
 func (n *Conductor) leave(id string, started uint64) {
 	before := n.registrar.Current()
-	if started == 0 && before.ID == id {
-		started = before.Started
-	}
-	n.registrar.Leave(id, started)
-	if !(before.ID == id && before.Started == started && before.Left) {
-		n.recordDeparture(registrar.Departure{
-			ID:      id,
-			Started: started,
-			Left:    true,
-		})
+	d := n.registrar.Leave(id, started)
+	if !(before.ID == id && before.Left) {
+		n.recordDeparture(d)
 	}
 }
 
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/subtle"
 	"fmt"
 	"hash/fnv"
@@ -20,15 +19,9 @@
 	"github.com/gentianlever/gentianlever/internal/forwarder"
 	"github.com/gentianlever/gentianlever/internal/messenger"
 	"github.com/gentianlever/gentianlever/internal/relayer"
-	"github.com/gentianlever/gentianlever/internal/storer"
 )
 
 const (
-	// keyBytes is the length of the membership key.
-	keyBytes = 32
-	// keyPartition and keyName name the row with the key that all nodes share.
-	keyPartition = "keys"
-	keyName      = "membership"
 	// storeTimeout bounds a call to the store, which answers within milliseconds.
 	storeTimeout = time.Second
 	// storeRetry separates failed calls at the start.
@@ -90,13 +83,9 @@
 	}
 }
 
-// runMembership gets the key that all nodes share and then follows the members until ctx
-// ends.
+// runMembership follows the members until ctx ends.
 func (n *Conductor) runMembership(ctx context.Context) error {
-	key, err := n.membershipKey(ctx)
-	if err != nil {
-		return nil // ctx has ended
-	}
+	key := n.Settings.MembershipKey
 	n.client.MembershipKey = key
 	n.client.Open()
 	n.udp.MembershipKey = key
@@ -120,47 +109,6 @@
 	return p.Wait()
 }
 
-// membershipKey reads the key from the store, or makes one where there is none. All nodes
-// get the same key, because only the first write takes effect.
-func (n *Conductor) membershipKey(ctx context.Context) ([]byte, error) {
-	row := storer.Row{
-		Key: storer.Key{
-			Partition: keyPartition,
-			Sort:      keyName,
-		},
-	}
-	for {
-		calling, cancel := context.WithTimeout(ctx, storeTimeout)
-		found, ok, err := n.table.Get(calling, row.Key)
-		cancel()
-		if err == nil && ok && len(found.Body) >= keyBytes {
-			return found.Body, nil
-		}
-		if err == nil && !ok {
-			row.Body = make([]byte, keyBytes)
-			if _, err := rand.Read(row.Body); err != nil {
-				return nil, err
-			}
-			calling, cancel := context.WithTimeout(ctx, storeTimeout)
-			err = n.table.Write(calling, []storer.Write{
-				{
-					Row:       row,
-					Condition: storer.Absent,
-				},
-			})
-			cancel()
-			if err == nil {
-				return row.Body, nil
-			}
-			// Another node was first, or the outcome is not known: the next read tells.
-			n.Log.Info("membership-key-not-written", "error", err.Error())
-		}
-		if !sleep(ctx, storeRetry) {
-			return nil, ctx.Err()
-		}
-	}
-}
-
 // joined reports whether the node knows others, or has looked for them long enough.
 func (n *Conductor) joined() bool {
 	at := n.joinedAt.Load()
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -29,7 +29,10 @@
 
 // Departure is an endpoint that has said that it drains or leaves.
 type Departure struct {
-	ID      string `json:"id"`
+	ID string `json:"id"`
+	// Started is the latest start of the endpoint that has departed, in Unix milliseconds.
+	// Where the endpoint did not say which start it spoke of, it is the time at which it
+	// spoke: a later start of the same ID is another one.
 	Started uint64 `json:"started"`
 	// Left is set where the endpoint has left and not only drains.
 	Left bool `json:"left"`
@@ -70,17 +73,11 @@
 
 	mu         sync.Mutex
 	endpoint   Endpoint
-	departures map[start]bool // whether it left
+	departures map[string]Departure
 	// replaced holds the IDs of earlier endpoints whose reports state no start.
 	replaced map[string]bool
 }
 
-// start names one start of an endpoint.
-type start struct {
-	id      string
-	started uint64
-}
-
 // Report takes a report. It reports whether the report is in force; a late one of an
 // older start or an older sequence is not. The error is a *RejectedError.
 func (g *Registrar) Report(r Report) (bool, error) {
@@ -102,13 +99,16 @@
 	if old.ID != r.ID || old.Started != r.Started {
 		current.Since = now
 	}
-	if left, departed := g.departures[start{id: r.ID, started: r.Started}]; departed {
+	if d, known := g.departures[r.ID]; known && r.Started <= d.Started {
 		// A departure is never taken back, whatever order the reports arrive in.
 		current.Draining = true
-		current.Left = left
+		current.Left = d.Left
 	}
 	if r.Draining {
-		g.depart(r.ID, r.Started, current.Left)
+		g.depart(Departure{
+			ID:      r.ID,
+			Started: r.Started,
+		})
 	}
 	g.endpoint = current
 	g.mu.Unlock()
@@ -160,23 +160,29 @@
 	return true
 }
 
-// Leave takes the statement of an endpoint that it leaves. A started of zero means that
-// the statement did not say which start it speaks of; it then speaks of the known one.
-func (g *Registrar) Leave(id string, started uint64) {
+// Leave takes the statement of an endpoint that it leaves, and returns the departure. A
+// started of zero means that the statement did not say which start it speaks of; it then
+// speaks of every start up to now, also where the node does not know the endpoint yet.
+func (g *Registrar) Leave(id string, started uint64) Departure {
+	d := Departure{
+		ID:      id,
+		Started: started,
+		Left:    true,
+	}
+	if started == 0 {
+		d.Started = uint64(time.Now().UnixMilli())
+	}
 	g.mu.Lock()
 	old := g.endpoint
 	if started == 0 && old.ID == id {
-		started = old.Started
-	}
-	g.depart(id, started, true)
-	current := old
-	if old.ID == id && old.Started == started {
-		current.Draining = true
-		current.Left = true
-		g.endpoint = current
+		d.Started = max(d.Started, old.Started)
 	}
+	g.depart(d)
+	current := g.departed(old, d)
+	g.endpoint = current
 	g.mu.Unlock()
 	g.changed(old, current)
+	return d
 }
 
 // Restore takes over departures that were recorded before this process started.
@@ -185,26 +191,34 @@
 	old := g.endpoint
 	current := old
 	for _, d := range departures {
-		g.depart(d.ID, d.Started, d.Left)
-		if current.ID == d.ID && current.Started == d.Started {
-			current.Draining = true
-			current.Left = current.Left || d.Left
-		}
+		g.depart(d)
+		current = g.departed(current, d)
 	}
 	g.endpoint = current
 	g.mu.Unlock()
 	g.changed(old, current)
 }
 
-func (g *Registrar) depart(id string, started uint64, left bool) {
+// departed returns an endpoint after a departure, which may be that of another one.
+func (g *Registrar) departed(e Endpoint, d Departure) Endpoint {
+	if e.ID == d.ID && e.Started <= d.Started {
+		e.Draining = true
+		e.Left = e.Left || d.Left
+	}
+	return e
+}
+
+// depart remembers a departure. Of several of one ID the latest start counts, and it has
+// left once any of them says so.
+func (g *Registrar) depart(d Departure) {
 	if g.departures == nil || len(g.departures) >= maxDepartures {
-		g.departures = make(map[start]bool)
+		g.departures = make(map[string]Departure)
 	}
-	s := start{
-		id:      id,
-		started: started,
+	if old, known := g.departures[d.ID]; known {
+		d.Left = d.Left || old.Left && old.Started >= d.Started
+		d.Started = max(d.Started, old.Started)
 	}
-	g.departures[s] = g.departures[s] || left
+	g.departures[d.ID] = d
 }
 
 func (g *Registrar) changed(old, current Endpoint) {
--- /dev/null
+++ b/internal/registrar/registrar_test.go
@@ -0,0 +1,150 @@
+package registrar
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var address = netip.MustParseAddrPort("10.0.0.1:8080")
+
+// report is a report of a start of an endpoint.
+func report(id string, started, sequence uint64, draining bool) Report {
+	return Report{
+		ID:       id,
+		Started:  started,
+		Sequence: sequence,
+		Service:  "proofs",
+		Address:  address,
+		Slots:    12,
+		Draining: draining,
+	}
+}
+
+func newRegistrar() *Registrar {
+	return &Registrar{
+		Service: "proofs",
+		Address: address,
+	}
+}
+
+// Reports arrive late, twice and from earlier starts.
+func TestOrderOfReports(t *testing.T) {
+	tests := []struct {
+		name    string
+		reports []Report
+		want    string
+		started uint64
+	}{
+		{
+			name:    "the later sequence holds",
+			reports: []Report{report("i-1", 5, 2, false), report("i-1", 5, 1, true)},
+			want:    "i-1",
+			started: 5,
+		},
+		{
+			name:    "a later start holds although its sequence begins anew",
+			reports: []Report{report("i-1", 5, 9, false), report("i-2", 8, 1, false)},
+			want:    "i-2",
+			started: 8,
+		},
+		{
+			name:    "a report of an earlier start that comes late is dropped",
+			reports: []Report{report("i-2", 8, 1, false), report("i-1", 5, 99, false)},
+			want:    "i-2",
+			started: 8,
+		},
+		{
+			name:    "a start under the same ID holds",
+			reports: []Report{report("i-1", 5, 9, false), report("i-1", 8, 1, false)},
+			want:    "i-1",
+			started: 8,
+		},
+		{
+			name:    "without starts the IDs that were replaced stay so",
+			reports: []Report{report("i-1", 0, 3, false), report("i-2", 0, 1, false), report("i-1", 0, 4, false)},
+			want:    "i-2",
+			started: 0,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newRegistrar()
+			for _, r := range test.reports {
+				_, err := g.Report(r)
+				is.NoErr(err)
+			}
+			is.Equal(g.Current().ID, test.want)
+			is.Equal(g.Current().Started, test.started)
+			is.True(g.Current().Available())
+		})
+	}
+}
+
+// A departure is never taken back, whatever comes late.
+func TestDepartureHolds(t *testing.T) {
+	is := is.New(t)
+	g := newRegistrar()
+	_, err := g.Report(report("i-1", 5, 1, false))
+	is.NoErr(err)
+	_, err = g.Report(report("i-1", 5, 2, true))
+	is.NoErr(err)
+	is.True(!g.Current().Available())
+	_, err = g.Report(report("i-1", 5, 3, false))
+	is.NoErr(err)
+	is.True(!g.Current().Available())
+	_, err = g.Report(report("i-1", 6, 1, false))
+	is.NoErr(err)
+	is.True(g.Current().Available()) // a new start under the same ID
+}
+
+// A node that had just restarted confirmed a departure of an endpoint that it did not know
+// yet, which did not state its start. A report that came late made it send requests there
+// (irbid-studio trouble-3 --seed 11, DRAIN 20).
+func TestDepartureOfUnknownEndpointHolds(t *testing.T) {
+	is := is.New(t)
+	g := newRegistrar()
+	g.Leave("i-1", 0)
+	_, err := g.Report(report("i-1", uint64(time.Now().Add(-time.Minute).UnixMilli()), 7, false))
+	is.NoErr(err)
+	is.True(!g.Current().Available())
+	_, err = g.Report(report("i-1", uint64(time.Now().Add(time.Minute).UnixMilli()), 1, false))
+	is.NoErr(err)
+	is.True(g.Current().Available())
+}
+
+// Departures that were recorded before the node's start hold after it, in any order.
+func TestRestoredDepartureHolds(t *testing.T) {
+	is := is.New(t)
+	g := newRegistrar()
+	_, err := g.Report(report("i-1", 5, 1, false))
+	is.NoErr(err)
+	g.Restore([]Departure{
+		{
+			ID:      "i-1",
+			Started: 5,
+			Left:    true,
+		},
+	})
+	is.True(g.Current().Left)
+}
+
+// Reports that can't be genuine change nothing.
+func TestRejectedReports(t *testing.T) {
+	other, elsewhere, unnamed, empty := report("i-1", 1, 1, false), report("i-1", 1, 1, false), report("", 1, 1, false), report("i-1", 1, 1, false)
+	other.Service = "vault"
+	elsewhere.Address = netip.MustParseAddrPort("10.0.0.2:8080")
+	empty.Slots = 0
+	for _, r := range []Report{other, elsewhere, unnamed, empty} {
+		is := is.New(t)
+		g := newRegistrar()
+		_, err := g.Report(r)
+		var rejected *RejectedError
+		is.True(errors.As(err, &rejected))
+		is.Equal(g.Current().ID, "")
+	}
+}
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -72,6 +72,8 @@
 	Exchanger *exchanger.Exchanger
 	// Local runs a request at the node's own endpoint.
 	Local func(ctx context.Context, c *Call, r *http.Request, body func() ([]byte, error)) (*Answer, error)
+	// LocalLoad returns the load of the node's own endpoint.
+	LocalLoad func() reporter.Load
 	// Distance returns the round trip to an availability zone.
 	Distance func(zone string) time.Duration
 	// Closing reports that callers should close their connections.
@@ -380,7 +382,11 @@
 
 // place chooses the endpoint of the next attempt.
 func (s *CallerSide) place(q *request) (candidate, placer.Estimate, bool) {
-	found := s.View.candidates(q.call.Service, q.moved, time.Now())
+	now := time.Now()
+	if q.call.Service == s.Service {
+		s.View.Report(s.Node, s.LocalLoad(), now)
+	}
+	found := s.View.candidates(q.call.Service, q.moved, now)
 	options := make([]placer.Candidate, len(found))
 	for i := range found {
 		found[i].Distance = s.Distance(found[i].peer.Zone)
--- a/internal/validator/sidecar.go
+++ b/internal/validator/sidecar.go
@@ -39,8 +39,10 @@
 	EndpointAddress netip.AddrPort
 	// StoreAddress is the address of the platform's store.
 	StoreAddress netip.AddrPort
-	Bounds       Bounds
-	LogLevel     slog.Level
+	// MembershipKey authenticates messages between nodes.
+	MembershipKey []byte
+	Bounds        Bounds
+	LogLevel      slog.Level
 }
 
 // Bounds are the figures that the platform's operators and the system agree on.
@@ -132,6 +134,15 @@
 		func(s *Sidecar) *netip.AddrPort { return &s.EndpointAddress }),
 	address("store-address", "IP address and port of the platform's store",
 		func(s *Sidecar) *netip.AddrPort { return &s.StoreAddress }),
+	{
+		Field: Field{
+			Name:     "membership-key",
+			Type:     "base64",
+			Required: true,
+			Help:     "key of at least 32 bytes that authenticates messages between nodes",
+		},
+		set: func(v *value, s *Sidecar) { s.MembershipKey = v.base64(minMembershipKeyBytes) },
+	},
 	{
 		Field: Field{
 			Name:     "bounds",
