Keep requests from endpoints that crash on them; list log events and metrics; test the new packages

Cause: a request that crashes every endpoint that runs it was sent on by the sidecar. The quarantine of the product's own node serves it now; a break counts as a crash only where the endpoint refuses connections right after it. The message of 'gentianlever fields' names the third kind of input, so its case changed with it.

--- a/internal/commander/check.go
+++ b/internal/commander/check.go
@@ -15,7 +15,7 @@
 }
 
 type fieldsArguments struct {
-	Kind string `arg:"positional,required" placeholder:"KIND" help:"document or settings"`
+	Kind string `arg:"positional,required" placeholder:"KIND" help:"document, settings or sidecar"`
 }
 
 // check prints every fault of every file.
@@ -37,6 +37,10 @@
 	if err != nil {
 		return "", err
 	}
+	if isSidecar(data) {
+		_, err := validator.ParseSidecar(file, data)
+		return "settings", err
+	}
 	if isSettings(data) {
 		_, err := validator.ParseSettings(file, data)
 		return "settings", err
@@ -47,11 +51,21 @@
 
 // isSettings tells settings from a document by the fields that only settings have.
 func isSettings(data []byte) bool {
+	return hasAny(data, "nodes-address", "callers-address", "platform", "membership-key")
+}
+
+// isSidecar tells the settings of a sidecar by the fields that only they have.
+func isSidecar(data []byte) bool {
+	return hasAny(data, "store-address", "reports-address", "ready-address")
+}
+
+// hasAny reports whether an object has any of some members.
+func hasAny(data []byte, names ...string) bool {
 	var members map[string]json.RawMessage
 	if json.Unmarshal(data, &members) != nil {
 		return false
 	}
-	for _, name := range []string{"nodes-address", "callers-address", "platform", "membership-key"} {
+	for _, name := range names {
 		if _, ok := members[name]; ok {
 			return true
 		}
@@ -63,7 +77,7 @@
 type unknownKindError struct{ kind string }
 
 func (e *unknownKindError) Error() string {
-	return fmt.Sprintf("%q is neither document nor settings", e.kind)
+	return fmt.Sprintf("%q is none of document, settings and sidecar", e.kind)
 }
 
 // fields prints the field tables that drive the parser.
@@ -74,6 +88,8 @@
 		sections = validator.DocumentSections()
 	case "settings":
 		sections = validator.SettingsSections()
+	case "sidecar":
+		sections = validator.SidecarSections()
 	default:
 		return &unknownKindError{kind: args.Kind}
 	}
--- a/internal/commander/sidecar.go
+++ b/internal/commander/sidecar.go
@@ -67,7 +67,7 @@
 	p.Go(w.run)
 	err = n.Run(ctx)
 	if err != nil {
-		n.Log.Error("node-failed", "error", err.Error())
+		n.Log.Error(recorder.NodeFailed, "error", err.Error())
 	}
 	end()
 	_ = p.Wait() // neither function returns an error
@@ -92,7 +92,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-w.hangups:
-			w.log.Info("hangup-received")
+			w.log.Info(recorder.HangupReceived)
 		case <-tick.C:
 		}
 		w.look()
@@ -103,7 +103,7 @@
 func (w *settingsWatcher) look() {
 	data, err := os.ReadFile(w.file)
 	if err != nil {
-		w.log.Error("settings-unreadable", "file", w.file, "error", err.Error())
+		w.log.Error(recorder.SettingsUnreadable, "file", w.file, "error", err.Error())
 		return
 	}
 	if bytes.Equal(data, w.data) {
@@ -112,7 +112,7 @@
 	w.data = data
 	s, err := validator.ParseSidecar(w.file, data)
 	if err != nil {
-		w.log.Error("settings-faulty", "file", w.file, "error", err.Error())
+		w.log.Error(recorder.SettingsFaulty, "file", w.file, "error", err.Error())
 		return
 	}
 	w.level.Set(s.LogLevel)
@@ -120,6 +120,6 @@
 	case w.reload <- s:
 	default:
 		// The node has stopped taking settings, because it is shutting down.
-		w.log.Warn("settings-not-taken", "file", w.file)
+		w.log.Warn(recorder.SettingsNotTaken, "file", w.file)
 	}
 }
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -19,6 +19,8 @@
 	"github.com/gentianlever/gentianlever/internal/follower"
 	"github.com/gentianlever/gentianlever/internal/forwarder"
 	"github.com/gentianlever/gentianlever/internal/meter"
+	"github.com/gentianlever/gentianlever/internal/quarantiner"
+	"github.com/gentianlever/gentianlever/internal/recorder"
 	"github.com/gentianlever/gentianlever/internal/registrar"
 	"github.com/gentianlever/gentianlever/internal/relayer"
 	"github.com/gentianlever/gentianlever/internal/reporter"
@@ -80,6 +82,7 @@
 	callers     relayer.CallerSide
 	endpoint    relayer.EndpointSide
 	loads       relayer.Loads
+	quarantiner quarantiner.Quarantiner
 	membership
 	departures
 }
@@ -95,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	n.Log.Info("node-started", "node", n.Settings.Name, "service", n.Settings.Service,
+	n.Log.Info(recorder.NodeStarted, "node", n.Settings.Name, "service", n.Settings.Service,
 		"zone", n.Settings.AvailabilityZone, "incarnation", n.incarnation, "callers", n.Settings.CallersAddress)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -150,6 +153,7 @@
 	}
 	n.buildSides()
 	n.buildMembership()
+	n.buildQuarantine()
 }
 
 func (n *Conductor) buildExchangers() {
@@ -179,6 +183,8 @@
 		Observed:     n.observed,
 		LoadChanged:  n.loads.Changed,
 		Heard:        n.loads.Heard,
+		Begin:        n.beginRequest,
+		Ended:        n.endRequest,
 	}
 	n.loads = relayer.Loads{
 		Address: s.LoadAddress,
@@ -231,7 +237,7 @@
 
 // tableApplied puts the limits of the node's own service in force and tells the members.
 func (n *Conductor) tableApplied(v *follower.Version, source string) {
-	n.Log.Info("table-applied", "version", v.Table.Version, "source", source, "routes", len(v.Table.Routes))
+	n.Log.Info(recorder.TableApplied, "version", v.Table.Version, "source", source, "routes", len(v.Table.Routes))
 	if service, ok := v.Table.Services[n.Settings.Service]; ok && service.MaxConnections > 0 {
 		n.toEndpoint.Resize(service.MaxConnections)
 	}
@@ -240,10 +246,10 @@
 
 func (n *Conductor) followFailed(operation string, err error) {
 	if err != nil {
-		n.Log.Warn("table-unavailable", "operation", operation, "version", n.follower.Revision(), "error", err.Error())
+		n.Log.Warn(recorder.TableUnavailable, "operation", operation, "version", n.follower.Revision(), "error", err.Error())
 		return
 	}
-	n.Log.Info("table-available", "operation", operation, "version", n.follower.Revision())
+	n.Log.Info(recorder.TableAvailable, "operation", operation, "version", n.follower.Revision())
 }
 
 func (n *Conductor) ready() bool {
@@ -263,7 +269,7 @@
 			n.bounds.Store(&s.Bounds)
 			n.budget.Resize(s.Bounds.RetryRatio, s.Bounds.RetrySlack, s.Bounds.RetryWindow)
 			n.store.Move(s.StoreAddress)
-			n.Log.Info("settings-reloaded", "store", s.StoreAddress, "grace", s.Bounds.Grace.String(),
+			n.Log.Info(recorder.SettingsReloaded, "store", s.StoreAddress, "grace", s.Bounds.Grace.String(),
 				"retry-ratio", s.Bounds.RetryRatio, "retry-slack", s.Bounds.RetrySlack)
 		}
 	}
@@ -355,7 +361,7 @@
 	}
 	l.callers.Listener = &forwarder.FramingListener{
 		Listener: l.callers.Listener,
-		Refused:  func() { n.Log.Warn("request-malformed", "reason", "framing") },
+		Refused:  func() { n.Log.Warn(recorder.RequestMalformed, "reason", "framing") },
 	}
 	return &l, nil
 }
--- a/internal/conductor/endpoint.go
+++ b/internal/conductor/endpoint.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gentianlever/gentianlever/internal/meter"
+	"github.com/gentianlever/gentianlever/internal/recorder"
 	"github.com/gentianlever/gentianlever/internal/registrar"
 	"github.com/gentianlever/gentianlever/internal/reporter"
 	"github.com/gentianlever/gentianlever/internal/storer"
@@ -65,7 +66,7 @@
 			return nil
 		}
 	}
-	n.Log.Warn("departures-unknown", "after", restoreLimit.String())
+	n.Log.Warn(recorder.DeparturesUnknown, "after", restoreLimit.String())
 	return nil
 }
 
@@ -74,7 +75,7 @@
 	for _, row := range rows {
 		var d registrar.Departure
 		if err := json.Unmarshal(row.Body, &d); err != nil || d.ID == "" {
-			n.Log.Warn("departure-unreadable", "row", row.Key.Sort)
+			n.Log.Warn(recorder.DepartureUnreadable, "row", row.Key.Sort)
 			continue
 		}
 		found = append(found, d)
@@ -90,7 +91,7 @@
 		return err
 	}
 	if !inForce {
-		n.Log.Info("report-late", "endpoint", r.ID, "started", r.Started, "sequence", r.Sequence,
+		n.Log.Info(recorder.ReportLate, "endpoint", r.ID, "started", r.Started, "sequence", r.Sequence,
 			"known", before.ID, "known-started", before.Started, "known-sequence", before.Sequence)
 		return nil
 	}
@@ -131,13 +132,13 @@
 		},
 	})
 	if err != nil {
-		n.Log.Warn("departure-not-recorded", "endpoint", d.ID, "error", err.Error())
+		n.Log.Warn(recorder.DepartureNotRecorded, "endpoint", d.ID, "error", err.Error())
 	}
 }
 
 func (n *Conductor) reportRejected(id string, err error) {
 	n.meter.Add(meter.ReportsRejected, 1)
-	n.Log.Warn("report-rejected", "endpoint", id, "error", err.Error())
+	n.Log.Warn(recorder.ReportRejected, "endpoint", id, "error", err.Error())
 }
 
 // endpointChanged tells the other nodes whether the endpoint takes requests.
@@ -146,7 +147,7 @@
 	if same && old.Available() == current.Available() && old.Left == current.Left {
 		return
 	}
-	n.Log.Info("endpoint-changed", "endpoint", current.ID, "started", current.Started,
+	n.Log.Info(recorder.EndpointChanged, "endpoint", current.ID, "started", current.Started,
 		"sequence", current.Sequence, "draining", current.Draining, "left", current.Left,
 		"slots", current.Slots, "version", current.Version, "before", old.ID)
 	if !same {
@@ -182,7 +183,7 @@
 		cancel()
 		n.meter.Add(meter.Probes, 1, probeOutcome(err))
 		if err != nil && ctx.Err() == nil {
-			n.Log.Warn("probe-failed", "error", err.Error())
+			n.Log.Warn(recorder.ProbeFailed, "error", err.Error())
 		}
 	}
 	return nil
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -18,6 +18,7 @@
 	"github.com/gentianlever/gentianlever/internal/distributor"
 	"github.com/gentianlever/gentianlever/internal/forwarder"
 	"github.com/gentianlever/gentianlever/internal/messenger"
+	"github.com/gentianlever/gentianlever/internal/recorder"
 	"github.com/gentianlever/gentianlever/internal/relayer"
 )
 
@@ -100,7 +101,7 @@
 		messages: n.messengerService(key).Handler(),
 	})
 	n.joinedAt.Store(time.Now().UnixNano())
-	n.Log.Info("membership-started")
+	n.Log.Info(recorder.MembershipStarted)
 	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
 	n.loads.Key = key
 	p.Go(n.loads.Run)
@@ -170,7 +171,7 @@
 		}
 		states = append(states, fmt.Sprintf("%s@%d %s", m.ID, m.Started, state))
 	}
-	n.Log.Info("members-changed", "count", len(members), "members", states)
+	n.Log.Info(recorder.MembersChanged, "count", len(members), "members", states)
 }
 
 func (n *Conductor) announceTable(version uint64) {
@@ -262,6 +263,7 @@
 		MembershipKey: key,
 		Sync:          n.announcer.HandleSync,
 		Changes:       func(uint64) []distributor.Change { return nil },
+		Suspects:      n.quarantiner.Merge,
 		Rejected:      func() {},
 	}
 }
--- a/internal/conductor/observe.go
+++ b/internal/conductor/observe.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gentianlever/gentianlever/internal/meter"
+	"github.com/gentianlever/gentianlever/internal/recorder"
 	"github.com/gentianlever/gentianlever/internal/relayer"
 	"github.com/gentianlever/gentianlever/internal/scheduler"
 	"github.com/gentianlever/gentianlever/internal/storer"
@@ -86,9 +87,9 @@
 	lost := n.storeLost.Swap(err != nil)
 	switch {
 	case err != nil:
-		n.Log.Warn("store-call-failed", "operation", operation, "outcome", outcome, "first", !lost, "error", err.Error())
+		n.Log.Warn(recorder.StoreCallFailed, "operation", operation, "outcome", outcome, "first", !lost, "error", err.Error())
 	case lost:
-		n.Log.Info("store-regained", "operation", operation)
+		n.Log.Info(recorder.StoreRegained, "operation", operation)
 	}
 }
 
@@ -122,11 +123,11 @@
 			slog.Duration("waited", e.Waited), slog.Int("slowness", e.Slowness), slog.Duration("slowness-age", e.SlownessAge),
 			slog.Int("running", e.Running), slog.Int("queued", e.Queued),
 			slog.Int64("target-left-us", c.TargetLeft), slog.Int64("time-left-us", c.TimeLeft), slog.Bool("final", c.Final))
-		n.Log.LogAttrs(context.Background(), level, "endpoint-request", attrs...)
+		n.Log.LogAttrs(context.Background(), level, recorder.EndpointRequest, attrs...)
 		return
 	}
 	attrs = append(attrs, slog.Any("attempts", attemptLines(e.Attempts)))
-	n.Log.LogAttrs(context.Background(), level, "caller-request", attrs...)
+	n.Log.LogAttrs(context.Background(), level, recorder.CallerRequest, attrs...)
 }
 
 // attemptLines describes attempts: the node, what was known of it, and the outcome.
--- /dev/null
+++ b/internal/conductor/quarantine.go
@@ -0,0 +1,129 @@
+package conductor
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/gentianlever/gentianlever/internal/announcer"
+	"github.com/gentianlever/gentianlever/internal/messenger"
+	"github.com/gentianlever/gentianlever/internal/quarantiner"
+	"github.com/gentianlever/gentianlever/internal/recorder"
+	"github.com/gentianlever/gentianlever/internal/relayer"
+)
+
+const (
+	// shareTimeout bounds the wait of a request whose endpoint crashed; messages between
+	// availability zones take about 2 ms.
+	shareTimeout = 100 * time.Millisecond
+	// shareWorkers bounds the messages at one time.
+	shareWorkers = 16
+)
+
+// buildQuarantine builds what keeps requests that crash endpoints from further ones.
+func (n *Conductor) buildQuarantine() {
+	n.quarantiner.Node = n.Settings.Name
+	n.quarantiner.Sequence = n.incarnation
+	n.quarantiner.Trial = n.trial
+	n.quarantiner.Share = n.shareSuspect
+	// Each membership message carries one suspect; successive ones carry all in turn.
+	n.quarantiner.MaxShared = 1
+	n.announcer.Suspects = n.attachedSuspects
+	n.announcer.SuspectsReceived = func(encoded [][]byte) {
+		n.quarantiner.Merge(messenger.UnmarshalSuspects(encoded))
+	}
+}
+
+// suspect makes the quarantine's fingerprint from the relayer's.
+func (n *Conductor) suspect(fingerprint string) quarantiner.Fingerprint {
+	fp := quarantiner.Fingerprint{Service: n.Settings.Service}
+	// The relayer's fingerprint is a digest in hexadecimal digits.
+	digest, _ := hex.DecodeString(fingerprint)
+	copy(fp.Digest[:], digest)
+	return fp
+}
+
+// beginRequest refuses a request that is kept from this endpoint.
+func (n *Conductor) beginRequest(c *relayer.Call, fingerprint string) error {
+	err := n.quarantiner.Begin(n.suspect(fingerprint))
+	if err != nil {
+		n.Log.Warn(recorder.RequestQuarantined, "id", c.ID, "fingerprint", fingerprint)
+	}
+	return err
+}
+
+// endRequest returns once the suspicion of a crash is shared, so that a caller that sends
+// the request again meets nodes that know of it.
+func (n *Conductor) endRequest(fingerprint string, end relayer.End) {
+	fp := n.suspect(fingerprint)
+	switch end {
+	case relayer.Answered:
+		n.quarantiner.End(fp, quarantiner.Succeeded)
+	case relayer.Broken:
+		if n.endpointAccepts() {
+			n.quarantiner.End(fp, quarantiner.Inconclusive)
+			return
+		}
+		n.quarantiner.Broke(fp)
+		n.quarantiner.Probed(false)
+	default:
+		n.quarantiner.End(fp, quarantiner.Inconclusive)
+	}
+}
+
+// endpointAccepts reports whether the endpoint still accepts connections after it broke
+// one. An endpoint that has crashed refuses them.
+func (n *Conductor) endpointAccepts() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
+	defer cancel()
+	err := n.toEndpoint.Connect(ctx, n.Settings.EndpointAddress)
+	return !errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// peers returns the other members of the node's service that are present.
+func (n *Conductor) peers() []announcer.Member {
+	var peers []announcer.Member
+	for _, m := range n.announcer.Present() {
+		if m.Service == n.Settings.Service && m.ID != n.Settings.Name {
+			peers = append(peers, m)
+		}
+	}
+	return peers
+}
+
+// trial returns the member whose endpoint may run a suspect once more.
+func (n *Conductor) trial(string) string {
+	for _, m := range n.peers() {
+		if m.State == announcer.Alive && !m.Draining {
+			return m.ID
+		}
+	}
+	return ""
+}
+
+// shareSuspect sends a suspect to the other members of the service, in parallel. Members
+// that it does not reach learn of it by membership messages.
+func (n *Conductor) shareSuspect(s quarantiner.Suspect) {
+	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
+	defer cancel()
+	p := pool.New().WithMaxGoroutines(shareWorkers)
+	for _, m := range n.peers() {
+		p.Go(func() { _ = n.client.Suspects(ctx, m.Address, []quarantiner.Suspect{s}) })
+	}
+	p.Wait()
+}
+
+// attachedSuspects returns the suspect that the next membership message carries.
+func (n *Conductor) attachedSuspects() [][]byte {
+	var encoded [][]byte
+	for _, s := range n.quarantiner.Suspects() {
+		if b, err := messenger.MarshalSuspect(s); err == nil {
+			encoded = append(encoded, b)
+		}
+	}
+	return encoded
+}
--- a/internal/conductor/shutdown.go
+++ b/internal/conductor/shutdown.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/gentianlever/gentianlever/internal/recorder"
 )
 
 const (
@@ -20,7 +22,7 @@
 	started := time.Now()
 	grace := n.bounds.Load().Grace
 	n.stopping.Store(true)
-	n.Log.Info("node-stopping", "grace", grace.String())
+	n.Log.Info(recorder.NodeStopping, "grace", grace.String())
 	if n.nodes.Load() != nil {
 		n.announcer.Drain()
 	}
@@ -29,7 +31,7 @@
 	defer cancel()
 	for _, open := range []*listener{l.callers, l.nodes, l.reports, l.ready, l.metrics} {
 		if err := open.server.Shutdown(ctx); err != nil {
-			n.Log.Warn("listener-not-finished", "address", open.Addr().String(), "error", err.Error())
+			n.Log.Warn(recorder.ListenerNotFinished, "address", open.Addr().String(), "error", err.Error())
 			_ = open.server.Close()
 		}
 	}
@@ -40,5 +42,5 @@
 		defer cancel()
 		n.announcer.Leave(leaving)
 	}
-	n.Log.Info("node-stopped", "took", time.Since(started).String())
+	n.Log.Info(recorder.NodeStopped, "took", time.Since(started).String())
 }
--- a/internal/documenter/documenter.go
+++ b/internal/documenter/documenter.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/gentianlever/gentianlever/internal/counter"
+	"github.com/gentianlever/gentianlever/internal/meter"
+	"github.com/gentianlever/gentianlever/internal/recorder"
 	"github.com/gentianlever/gentianlever/internal/refuser"
 	"github.com/gentianlever/gentianlever/internal/retrier"
 	"github.com/gentianlever/gentianlever/internal/validator"
@@ -37,7 +39,33 @@
 func tables() []table {
 	result := []table{refusals(), retries(), counters()}
 	result = append(result, fields("Document", validator.DocumentSections())...)
-	return append(result, fields("Settings", validator.SettingsSections())...)
+	result = append(result, fields("Settings", validator.SettingsSections())...)
+	result = append(result, fields("Sidecar settings", validator.SidecarSections())...)
+	return append(result, events(), metrics())
+}
+
+func events() table {
+	t := table{
+		title:  "Log lines of a sidecar",
+		intro:  "A sidecar writes JSON lines to its standard output, each with `time`, `level` and the event in `msg`.",
+		header: []string{"event", "fields", "meaning"},
+	}
+	for _, e := range recorder.Events {
+		t.rows = append(t.rows, []string{"`" + e.Name + "`", strings.Join(e.Fields, ", "), e.Help})
+	}
+	return t
+}
+
+func metrics() table {
+	t := table{
+		title:  "Metrics of a sidecar",
+		intro:  "`GET /metrics` on the metrics-address serves them in Prometheus' text format as `gentianlever_NAME`, with underscores.",
+		header: []string{"metric", "kind", "labels", "meaning"},
+	}
+	for _, m := range meter.Table {
+		t.rows = append(t.rows, []string{"`" + string(m.Name) + "`", string(m.Kind), strings.Join(m.Labels, ", "), m.Help})
+	}
+	return t
 }
 
 func refusals() table {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -78,7 +78,7 @@
 		return
 	}
 	h := slog.NewJSONHandler(c.Out, nil)
-	slog.New(h).Warn("log-lines-dropped", "count", n)
+	slog.New(h).Warn(LogLinesDropped, "count", n)
 }
 
 // Dropped returns the lines dropped since the last report.
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -54,10 +54,10 @@
 	LoadChanged func()
 	// Heard is called with the address of a node that sends a request.
 	Heard func(from netip.Addr)
-	// Broke is called after the endpoint broke the connection of a request.
-	Broke func(c *Call, fingerprint string)
-	// Quarantined returns a refusal for requests that crash endpoints; it may be nil.
-	Quarantined func(fingerprint string) error
+	// Begin is called before a request is sent to the endpoint. Its error, a refusal, keeps
+	// a request from it that crashes endpoints. Ended follows each Begin without an error.
+	Begin func(c *Call, fingerprint string) error
+	Ended func(fingerprint string, end End)
 
 	mu          sync.Mutex
 	scheduler   scheduler.Scheduler
@@ -207,21 +207,40 @@
 		return nil, err
 	}
 	fingerprint := fingerprintOf(c, r, content)
-	if s.Quarantined != nil {
-		if err := s.Quarantined(fingerprint); err != nil {
-			return nil, err
-		}
+	if err := s.Begin(c, fingerprint); err != nil {
+		return nil, err
 	}
 	defer s.track(c, request)()
 	answer, err := s.exchange(ctx, c, r, content, request.Deadline, e)
-	var refused *RefusedError
-	if errors.As(err, &refused) && refused.Reason == refuser.EndpointFailed && s.Broke != nil {
-		s.Broke(c, fingerprint)
-	}
+	s.Ended(fingerprint, endOf(answer, err))
 	complete = err == nil && answer.Status < http.StatusInternalServerError
 	return answer, err
 }
 
+// End is how a request ended at the endpoint.
+type End uint8
+
+// The ends of a request.
+const (
+	// Answered means a complete answer without a failure of the server.
+	Answered End = iota
+	// Broken means that the endpoint broke the connection, as it does when it crashes.
+	Broken
+	// Inconclusive means any other end.
+	Inconclusive
+)
+
+func endOf(answer *Answer, err error) End {
+	var refused *RefusedError
+	switch {
+	case err == nil && answer.Status < http.StatusInternalServerError:
+		return Answered
+	case errors.As(err, &refused) && refused.Reason == refuser.EndpointFailed && refused.Detail != problemEncoding:
+		return Broken
+	}
+	return Inconclusive
+}
+
 // available refuses where the endpoint takes no requests.
 func (s *EndpointSide) available() error {
 	endpoint := s.Endpoint()
@@ -425,13 +444,16 @@
 	}, nil
 }
 
+// problemEncoding is the detail of an answer that came in whole and is not used.
+const problemEncoding = "the answer has an encoding that was not asked for"
+
 // broken says why an answer that came in whole is not the endpoint's, or is empty.
 func broken(resp *http.Response, b []byte) string {
 	switch {
 	case len(b) > maxAnswerBytes:
 		return "the answer is too large"
 	case resp.Header.Get("Content-Encoding") != "":
-		return "the answer has an encoding that was not asked for"
+		return problemEncoding
 	}
 	return ""
 }
--- a/internal/relayer/endpointside_test.go
+++ b/internal/relayer/endpointside_test.go
@@ -83,6 +83,8 @@
 		Observed:     func(Event) {},
 		LoadChanged:  func() {},
 		Heard:        func(netip.Addr) {},
+		Begin:        func(*Call, string) error { return nil },
+		Ended:        func(string, End) {},
 	}
 	e.report(t, 1, false, slots)
 	return e
--- a/internal/validator/validator_test.go
+++ b/internal/validator/validator_test.go
@@ -32,6 +32,13 @@
 				return err
 			},
 		},
+		{
+			folder: "sidecar",
+			parse: func(data []byte) error {
+				_, err := validator.ParseSidecar("input.json", data)
+				return err
+			},
+		},
 	}
 	for _, kind := range kinds {
 		dirs, err := filepath.Glob(filepath.Join("../../test/cases", kind.folder, "*"))
