Trust what an endpoint told a moment ago

Cause: load messages come on change and every 250 ms, but the placement forgot them as if they came with answers only, and the node's own endpoint, whose load is exact, looked better than equal ones elsewhere.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -21,10 +21,10 @@
 	// usualFactor is the expected factor of the usual time where what is known is old:
 	// a quarter of the time work takes several times as long, but a node passes a request
 	// on while its endpoint is slow.
-	usualFactor = 1.3
+	usualFactor = 1.1
 	// loadMemory is the age at which a report of the number of requests has lost two
 	// thirds of its weight; most of them have ended by then.
-	loadMemory = 300 * time.Millisecond
+	loadMemory = 600 * time.Millisecond
 	// coldFactor is the factor of an endpoint that has just started.
 	coldFactor = 2.0
 	// failurePenalty, doubled with each failure in a row, is added for an endpoint that
