--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -8,9 +8,13 @@
 )
 
 const (
-	// share is the part of the budget that nodes spend on repeated requests. The rest is
-	// left for the calls that a repeated run makes again, which no node can tell apart.
-	share = 0.4
+	// share is the part of the budget that nodes spend. The rest covers what no node sees:
+	// windows that lie differently, and calls that are not recognised as those of a
+	// repeated run.
+	share = 0.75
+	// callersShare is the part of it that requests of callers may use. The rest is kept for
+	// calls of running work, each of which saves a run that has begun.
+	callersShare = 0.6
 	// slices divide the window; a finer division spends no more and forgets more evenly.
 	slices = 10
 	// maxServices bounds the memory of services that are no longer used.
@@ -53,13 +57,26 @@
 	w.requests[w.slice%slices]++
 }
 
-// Take takes one repeat from the budget and reports whether there was one.
-func (b *Budgeter) Take(service string, now time.Time) bool {
+// Repeat counts a request that repeats one whether or not the budget allows it: a call of a
+// run that is a repeat itself.
+func (b *Budgeter) Repeat(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, now)
+	w.repeats[w.slice%slices]++
+}
+
+// Take takes one repeat from the budget and reports whether there was one. nested says that
+// the request is a call of running work.
+func (b *Budgeter) Take(service string, nested bool, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
 	requests, repeats := sum(w.requests), sum(w.repeats)
 	allowed := share * (b.Ratio*float64(requests) + b.Slack/float64(max(b.Nodes(), 1)))
+	if !nested {
+		allowed *= callersShare
+	}
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -34,7 +34,7 @@
 					b.Request("proofs", at(ms))
 					r++
 				}
-				for b.Take("proofs", at(ms)) {
+				for b.Take("proofs", true, at(ms)) {
 					p++
 				}
 			}
@@ -64,7 +64,32 @@
 		Window: time.Second,
 		Nodes:  func() int { return 1 },
 	}
-	is.True(b.Take("proofs", at(0)))
+	is.True(b.Take("proofs", true, at(0)))
 	b.Resize(0, 0, time.Second)
-	is.True(!b.Take("proofs", at(0)))
+	is.True(!b.Take("proofs", true, at(0)))
+}
+
+// Calls of running work are the last to go without a repeat, because each saves a run; what
+// a repeated run calls again counts against the budget.
+func TestCallsOfRunningWorkComeFirst(t *testing.T) {
+	is := is.New(t)
+	b := &Budgeter{
+		Ratio:  0.2,
+		Window: 10 * time.Second,
+		Nodes:  func() int { return 1 },
+	}
+	for range 100 {
+		b.Request("proofs", at(0))
+	}
+	callers, nested := 0, 0
+	for b.Take("proofs", false, at(0)) {
+		callers++
+	}
+	for b.Take("proofs", true, at(0)) {
+		nested++
+	}
+	is.Equal(callers, 9) // 0.2 * 0.75 * 0.6 of 100
+	is.Equal(nested, 6)  // up to 15
+	b.Repeat("proofs", at(0))
+	is.True(!b.Take("proofs", true, at(0)))
 }
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -307,7 +307,11 @@
 
 // run makes attempts until one ends in an answer or no other is allowed.
 func (s *CallerSide) run(ctx context.Context, r *http.Request, q *request) (*Answer, error) {
-	s.Budget.Request(q.call.Service, q.arrival)
+	if q.call.Repeated {
+		s.Budget.Repeat(q.call.Service, q.arrival)
+	} else {
+		s.Budget.Request(q.call.Service, q.arrival)
+	}
 	for {
 		if err := ended(ctx); err != nil {
 			return nil, err
@@ -377,7 +381,7 @@
 	if time.Now().Add(fromMicros(q.call.Guess)).After(q.deadline) {
 		return false
 	}
-	return s.Budget.Take(q.call.Service, time.Now())
+	return s.Budget.Take(q.call.Service, q.call.Nested, time.Now())
 }
 
 // place chooses the endpoint of the next attempt.
