Let a restarted node find the members at once, and ask draining endpoints last instead of never

The wait spreads a start of all nodes; the store takes 2000 reads a second. Ruled out: the members' knowledge of the node, which was right within 100 ms.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -70,6 +70,9 @@
 	// Expected is about the number of nodes of the system, zero for a few. A start
 	// without seeds is spread over Expected / (20 per second), at least 1.5 s.
 	Expected int
+	// FirstRead bounds the random wait before the rows are first read, which spreads a
+	// start of all nodes; zero is 1.5 s. A node that restarts alone serves nobody meanwhile.
+	FirstRead time.Duration
 	// Seed is the seed of the random choices.
 	Seed uint64
 	// Send sends a message without waiting for an answer.
--- a/internal/announcer/rows.go
+++ b/internal/announcer/rows.go
@@ -13,7 +13,7 @@
 	rowsPage  = 500
 	// joinPage rows are enough to find a member that answers.
 	joinPage = 200
-	// firstReadSpread bounds the wait of a node without seeds for its first read of
+	// firstReadSpread is the default of FirstRead. It bounds the wait of a node without seeds for its first read of
 	// the rows, so that a few nodes find each other within about 2 s.
 	firstReadSpread = 1500 * time.Millisecond
 	// joinsPerSecond is the rate at which all nodes together read the rows for the
@@ -48,11 +48,15 @@
 // join finds other members: through the seeds at once, then through the rows.
 func (a *Announcer) join(ctx context.Context) {
 	a.joinSeeds(ctx)
-	spread := max(firstReadSpread, time.Duration(a.Expected)*time.Second/joinsPerSecond)
+	first := firstReadSpread
+	if a.FirstRead > 0 {
+		first = a.FirstRead
+	}
+	spread := max(first, time.Duration(a.Expected)*time.Second/joinsPerSecond)
 	if !a.joined() && !sleep(ctx, a.jitter(spread)) {
 		return
 	}
-	retry := earlyRetry * spread / firstReadSpread
+	retry := earlyRetry * max(spread, firstReadSpread) / firstReadSpread
 	for !a.joined() {
 		a.joinRows(ctx, a.readSome)
 		a.joinSeeds(ctx)
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -27,6 +27,10 @@
 	storeTimeout = time.Second
 	// storeRetry separates failed calls at the start.
 	storeRetry = 200 * time.Millisecond
+	// firstRead bounds the wait before the members are first read. Callers send to a node as
+	// soon as it runs; the store takes 2000 reads a second, which a start of 200 nodes within
+	// this time stays below.
+	firstRead = 100 * time.Millisecond
 	// lonelyStart is the time after which a node without members is ready: it is the
 	// first, or the others come later.
 	lonelyStart = 3 * time.Second
@@ -74,13 +78,14 @@
 			// The endpoint has not reported yet.
 			Draining: true,
 		},
-		Seed:     n.incarnation,
-		Table:    n.table,
-		Send:     n.udp.Send,
-		Sync:     n.client.Sync,
-		Changed:  n.membersChanged,
-		Revision: n.follower.Revision,
-		Newer:    func(from announcer.Member, revision uint64) { n.follower.Newer(from.ID, revision) },
+		FirstRead: firstRead,
+		Seed:      n.incarnation,
+		Table:     n.table,
+		Send:      n.udp.Send,
+		Sync:      n.client.Sync,
+		Changed:   n.membersChanged,
+		Revision:  n.follower.Revision,
+		Newer:     func(from announcer.Member, revision uint64) { n.follower.Newer(from.ID, revision) },
 	}
 }
 
--- a/internal/relayer/view.go
+++ b/internal/relayer/view.go
@@ -106,23 +106,26 @@
 	peer Peer
 }
 
-// candidates returns the endpoints of a service that take requests, but for those excluded.
+// candidates returns the endpoints of a service that take requests, but for those
+// excluded. Where none does, it returns those that are known to drain: the node beside an
+// endpoint decides, and what is known of it may be out of date.
 func (v *View) candidates(service string, excluded map[string]bool, now time.Time) []candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var found []candidate
+	var found, draining []candidate
 	for _, k := range v.services[service] {
-		if excluded[k.peer.ID] || k.peer.Draining {
+		if excluded[k.peer.ID] {
 			continue
 		}
 		age := now.Sub(k.reported)
 		if k.reported.IsZero() {
 			age = -1
 		}
-		if k.load.Draining && age >= 0 && age < drainingMemory {
-			continue
+		into := &found
+		if k.peer.Draining || k.load.Draining && age >= 0 && age < drainingMemory {
+			into = &draining
 		}
-		found = append(found, candidate{
+		*into = append(*into, candidate{
 			Candidate: placer.Candidate{
 				ID:           k.peer.ID,
 				Load:         k.load,
@@ -134,6 +137,9 @@
 			peer: k.peer,
 		})
 	}
+	if len(found) == 0 {
+		return draining
+	}
 	return found
 }
 
