--- a/internal/commander/docs_test.go
+++ b/internal/commander/docs_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/gentianlever/gentianlever/internal/commander"
+	"github.com/gentianlever/gentianlever/internal/meter"
+	"github.com/gentianlever/gentianlever/internal/recorder"
+	"github.com/gentianlever/gentianlever/internal/refuser"
 )
 
 // Guards against pages that show commands or output that the program no longer has:
@@ -16,7 +21,7 @@
 func TestCommandsInDocs(t *testing.T) {
 	t.Chdir("../..")
 	runs := 0
-	for _, page := range []string{"README.md", "docs/operations.md"} {
+	for _, page := range []string{"README.md", "docs/nodes.md"} {
 		data, err := os.ReadFile(page)
 		is.New(t).NoErr(err)
 		for _, block := range strings.Split(string(data), "```console\n")[1:] {
@@ -46,3 +51,49 @@
 	}
 	return b.String()
 }
+
+// Guards the log lines that the operators' page explains: their events, fields, outcomes
+// and verdicts are those that the program writes.
+func TestOperatorsPageShowsRealLines(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	is.NoErr(err)
+	fields := map[string][]string{}
+	for _, e := range recorder.Events {
+		fields[e.Name] = append([]string{"msg"}, e.Fields...)
+	}
+	lines := 0
+	for line := range strings.Lines(string(page)) {
+		if !strings.HasPrefix(line, `{"msg"`) {
+			continue
+		}
+		lines++
+		var members map[string]any
+		is.NoErr(json.Unmarshal([]byte(line), &members))
+		allowed, known := fields[members["msg"].(string)]
+		is.True(known)
+		for name := range members {
+			if !slices.Contains(allowed, name) {
+				t.Errorf("%s is no field of %s", name, members["msg"])
+			}
+		}
+		if outcome, ok := members["outcome"].(string); ok {
+			_, known := refuser.Lookup(refuser.Reason(outcome))
+			is.True(known)
+		}
+	}
+	is.True(lines >= 6)
+	for name := range strings.SplitSeq(string(page), "`") {
+		metric, found := strings.CutPrefix(name, "gentianlever_")
+		if !found {
+			continue
+		}
+		metric, _, _ = strings.Cut(metric, "{")
+		metric, _, _ = strings.Cut(metric, " ")
+		if !slices.ContainsFunc(meter.Table, func(r meter.Row) bool {
+			return strings.ReplaceAll(string(r.Name), "-", "_") == metric
+		}) {
+			t.Errorf("metric %s is not in the table", metric)
+		}
+	}
+}
