--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -66,7 +66,10 @@
 
 	incarnation uint64
 	meter       meter.Meter
+	// stopping is set from the signal to stop on, and closing once the endpoint gets no
+	// more requests.
 	stopping    atomic.Bool
+	closing     atomic.Bool
 	storeLost   atomic.Bool
 	bounds      atomic.Pointer[validator.Bounds]
 	dialect     relayer.Dialect
@@ -178,7 +181,7 @@
 		Incarnation:  n.incarnation,
 		Endpoint:     n.knownEndpoint,
 		Exchanger:    &n.toEndpoint,
-		Stopping:     n.stopping.Load,
+		Stopping:     n.closing.Load,
 		MaxBodyBytes: n.maxBodyBytes,
 		Observed:     n.observed,
 		LoadChanged:  n.loads.Changed,
--- a/internal/conductor/endpoint.go
+++ b/internal/conductor/endpoint.go
@@ -155,7 +155,7 @@
 		n.toEndpoint.CloseIdle()
 		n.endpoint.Reported()
 	}
-	if n.stopping.Load() || old.Available() == current.Available() {
+	if n.closing.Load() || old.Available() == current.Available() {
 		return
 	}
 	if current.Available() {
