Share one wait and one sending of suspects; pass on only signed successes

Cause: the last reading found four copies of the wait that ends with its context, two of the sending of suspects, and a field of the dialect that nothing read. A success that lacks the endpoint's signature was passed on.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -12,6 +12,7 @@
 
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/gentianlever/gentianlever/internal/sleeper"
 	"github.com/gentianlever/gentianlever/internal/storer"
 )
 
@@ -355,7 +356,7 @@
 			if a.Changed != nil {
 				a.Changed(a.Present())
 			}
-			if !sleep(ctx, changeSpacing) {
+			if !sleeper.Sleep(ctx, changeSpacing) {
 				return
 			}
 		}
@@ -368,15 +369,3 @@
 	defer a.mu.Unlock()
 	return time.Duration(a.random.Float64() * float64(limit))
 }
-
-// sleep waits and reports whether ctx still holds.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/announcer/ping.go
+++ b/internal/announcer/ping.go
@@ -5,19 +5,21 @@
 	"net/netip"
 	"sort"
 	"time"
+
+	"github.com/gentianlever/gentianlever/internal/sleeper"
 )
 
 // pingLoop pings one member in each interval.
 func (a *Announcer) pingLoop(ctx context.Context) {
 	// A random phase keeps nodes that start together from pinging together.
-	if !sleep(ctx, a.jitter(pingInterval)) {
+	if !sleeper.Sleep(ctx, a.jitter(pingInterval)) {
 		return
 	}
 	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
 	for {
 		a.tick()
-		if !sleep(ctx, pingTimeout) {
+		if !sleeper.Sleep(ctx, pingTimeout) {
 			return
 		}
 		a.askOthers()
--- a/internal/announcer/rows.go
+++ b/internal/announcer/rows.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/gentianlever/gentianlever/internal/sleeper"
 	"github.com/gentianlever/gentianlever/internal/storer"
 )
 
@@ -53,7 +54,7 @@
 		first = a.FirstRead
 	}
 	spread := max(first, time.Duration(a.Expected)*time.Second/joinsPerSecond)
-	if !a.joined() && !sleep(ctx, a.jitter(spread)) {
+	if !a.joined() && !sleeper.Sleep(ctx, a.jitter(spread)) {
 		return
 	}
 	retry := earlyRetry * max(spread, firstReadSpread) / firstReadSpread
@@ -71,7 +72,7 @@
 		for _, to := range a.syncTargets() {
 			_ = a.exchange(ctx, to)
 		}
-		if !sleep(ctx, wait/2+a.jitter(wait)) {
+		if !sleeper.Sleep(ctx, wait/2+a.jitter(wait)) {
 			return
 		}
 	}
@@ -87,7 +88,7 @@
 // whether ctx still holds.
 func (a *Announcer) awaitMember(ctx context.Context, limit time.Duration) bool {
 	for end := time.Now().Add(limit); !a.joined() && time.Now().Before(end); {
-		if !sleep(ctx, min(joinCheck, time.Until(end))) {
+		if !sleeper.Sleep(ctx, min(joinCheck, time.Until(end))) {
 			return false
 		}
 	}
@@ -147,7 +148,7 @@
 		if count%readEvery == 0 {
 			a.joinRows(ctx, a.readRows)
 		}
-		if !sleep(ctx, wait) {
+		if !sleeper.Sleep(ctx, wait) {
 			return
 		}
 	}
--- a/internal/announcer/sync.go
+++ b/internal/announcer/sync.go
@@ -4,12 +4,14 @@
 	"context"
 	"net/netip"
 	"slices"
+
+	"github.com/gentianlever/gentianlever/internal/sleeper"
 )
 
 // syncLoop compares the members with a random member that is present and with one
 // that was lately marked failed, so that the halves of a partition find each other.
 func (a *Announcer) syncLoop(ctx context.Context) {
-	for sleep(ctx, syncInterval/2+a.jitter(syncInterval)) {
+	for sleeper.Sleep(ctx, syncInterval/2+a.jitter(syncInterval)) {
 		for _, to := range a.syncTargets() {
 			_ = a.exchange(ctx, to)
 		}
--- a/internal/conductor/endpoint.go
+++ b/internal/conductor/endpoint.go
@@ -11,6 +11,7 @@
 	"github.com/gentianlever/gentianlever/internal/recorder"
 	"github.com/gentianlever/gentianlever/internal/registrar"
 	"github.com/gentianlever/gentianlever/internal/reporter"
+	"github.com/gentianlever/gentianlever/internal/sleeper"
 	"github.com/gentianlever/gentianlever/internal/storer"
 )
 
@@ -62,7 +63,7 @@
 			n.registrar.Restore(n.decodeDepartures(rows))
 			return nil
 		}
-		if !sleep(ctx, storeRetry) {
+		if !sleeper.Sleep(ctx, storeRetry) {
 			return nil
 		}
 	}
@@ -167,7 +168,7 @@
 
 // watchSlowness probes the endpoint where answers do not tell how slow it is.
 func (n *Conductor) watchSlowness(ctx context.Context) error {
-	for sleep(ctx, probeTick) {
+	for sleeper.Sleep(ctx, probeTick) {
 		path := n.healthPath()
 		slowness, age := n.endpoint.LastSlowness()
 		limit := idleProbe
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -272,15 +272,3 @@
 		Rejected:      func() {},
 	}
 }
-
-// sleep waits and reports whether ctx still holds.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/conductor/observe.go
+++ b/internal/conductor/observe.go
@@ -14,6 +14,7 @@
 	"github.com/gentianlever/gentianlever/internal/recorder"
 	"github.com/gentianlever/gentianlever/internal/relayer"
 	"github.com/gentianlever/gentianlever/internal/scheduler"
+	"github.com/gentianlever/gentianlever/internal/sleeper"
 	"github.com/gentianlever/gentianlever/internal/storer"
 )
 
@@ -56,7 +57,7 @@
 
 // updateGauges sets the gauges until ctx ends.
 func (n *Conductor) updateGauges(ctx context.Context) error {
-	for sleep(ctx, gaugeInterval) {
+	for sleeper.Sleep(ctx, gaugeInterval) {
 		load := n.endpoint.Load()
 		n.meter.Set(meter.Members, float64(n.members.Load()))
 		n.meter.Set(meter.MembersAge, time.Since(time.Unix(0, n.membersAt.Load())).Seconds())
--- a/internal/conductor/quarantine.go
+++ b/internal/conductor/quarantine.go
@@ -7,8 +7,6 @@
 	"syscall"
 	"time"
 
-	"github.com/sourcegraph/conc/pool"
-
 	"github.com/gentianlever/gentianlever/internal/announcer"
 	"github.com/gentianlever/gentianlever/internal/messenger"
 	"github.com/gentianlever/gentianlever/internal/quarantiner"
@@ -16,13 +14,9 @@
 	"github.com/gentianlever/gentianlever/internal/relayer"
 )
 
-const (
-	// shareTimeout bounds the wait of a request whose endpoint crashed; messages between
-	// availability zones take about 2 ms.
-	shareTimeout = 100 * time.Millisecond
-	// shareWorkers bounds the messages at one time.
-	shareWorkers = 16
-)
+// crashCheckTimeout bounds the check whether an endpoint still accepts connections; one
+// that has crashed refuses them at once.
+const crashCheckTimeout = 100 * time.Millisecond
 
 // buildQuarantine builds what keeps requests that crash endpoints from further ones.
 func (n *Conductor) buildQuarantine() {
@@ -78,7 +72,7 @@
 // endpointAccepts reports whether the endpoint still accepts connections after it broke
 // one. An endpoint that has crashed refuses them.
 func (n *Conductor) endpointAccepts() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	err := n.toEndpoint.Connect(ctx, n.Settings.EndpointAddress)
 	return !errors.Is(err, syscall.ECONNREFUSED)
@@ -105,25 +99,10 @@
 	return ""
 }
 
-// shareSuspect sends a suspect to the other members of the service, in parallel. Members
-// that it does not reach learn of it by membership messages.
-func (n *Conductor) shareSuspect(s quarantiner.Suspect) {
-	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
-	defer cancel()
-	p := pool.New().WithMaxGoroutines(shareWorkers)
-	for _, m := range n.peers() {
-		p.Go(func() { _ = n.client.Suspects(ctx, m.Address, []quarantiner.Suspect{s}) })
-	}
-	p.Wait()
-}
+// shareSuspect sends a suspect to the other members of the service.
+func (n *Conductor) shareSuspect(s quarantiner.Suspect) { n.client.ShareSuspect(n.peers(), s) }
 
 // attachedSuspects returns the suspect that the next membership message carries.
 func (n *Conductor) attachedSuspects() [][]byte {
-	var encoded [][]byte
-	for _, s := range n.quarantiner.Suspects() {
-		if b, err := messenger.MarshalSuspect(s); err == nil {
-			encoded = append(encoded, b)
-		}
-	}
-	return encoded
+	return messenger.MarshalSuspects(n.quarantiner.Suspects())
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gentianlever/gentianlever/internal/router"
+	"github.com/gentianlever/gentianlever/internal/sleeper"
 )
 
 const (
@@ -131,7 +132,7 @@
 	for ctx.Err() == nil {
 		if f.Table() != nil && f.Active != nil && !f.Active() {
 			known = false
-			if !sleep(ctx, idleInterval) {
+			if !sleeper.Sleep(ctx, idleInterval) {
 				return
 			}
 			continue
@@ -147,7 +148,7 @@
 			known = false
 		case err != nil:
 			f.report(operation, err)
-			if !sleep(ctx, retry/2+rand.N(retry)) {
+			if !sleeper.Sleep(ctx, retry/2+rand.N(retry)) {
 				return
 			}
 			retry = min(2*retry, retryMost)
@@ -258,15 +259,3 @@
 	}
 	return newer
 }
-
-// sleep waits and reports whether ctx still holds.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/gentianlever/gentianlever/internal/router"
+	"github.com/gentianlever/gentianlever/internal/sleeper"
 )
 
 // decodeNumber reads a table that is only its version.
@@ -62,7 +63,7 @@
 		case !time.Now().Before(end):
 			return Snapshot{Position: position}, nil
 		}
-		if !sleep(ctx, 10*time.Millisecond) {
+		if !sleeper.Sleep(ctx, 10*time.Millisecond) {
 			return Snapshot{}, ctx.Err()
 		}
 	}
--- a/internal/messenger/suspects.go
+++ b/internal/messenger/suspects.go
@@ -5,8 +5,10 @@
 	"net/netip"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
 	protobuf "google.golang.org/protobuf/proto"
 
+	"github.com/gentianlever/gentianlever/internal/announcer"
 	"github.com/gentianlever/gentianlever/internal/messenger/proto"
 	"github.com/gentianlever/gentianlever/internal/quarantiner"
 )
@@ -104,3 +106,34 @@
 	}
 	return s, true
 }
+
+const (
+	// shareTimeout bounds the wait of a request whose endpoint crashed; the slowest
+	// round trip between regions is about 30 ms, and a new connection takes two.
+	shareTimeout = 200 * time.Millisecond
+	// shareWorkers bounds the messages at one time; a service has about 6 members.
+	shareWorkers = 32
+)
+
+// ShareSuspect sends a suspect to members, in parallel and for at most 200 ms. Members that
+// it does not reach learn of it by membership messages.
+func (c *Client) ShareSuspect(members []announcer.Member, s quarantiner.Suspect) {
+	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
+	defer cancel()
+	p := pool.New().WithMaxGoroutines(shareWorkers)
+	for _, m := range members {
+		p.Go(func() { _ = c.Suspects(ctx, m.Address, []quarantiner.Suspect{s}) })
+	}
+	p.Wait()
+}
+
+// MarshalSuspects encodes suspects for membership messages.
+func MarshalSuspects(suspects []quarantiner.Suspect) [][]byte {
+	var encoded [][]byte
+	for _, s := range suspects {
+		if b, err := MarshalSuspect(s); err == nil {
+			encoded = append(encoded, b)
+		}
+	}
+	return encoded
+}
--- a/internal/relayer/dialect.go
+++ b/internal/relayer/dialect.go
@@ -23,8 +23,6 @@
 	Expect string
 	// Caller holds the service of the VM where the request began.
 	Caller string
-	// Instance holds the ID of an endpoint on its health answers.
-	Instance string
 	// NotRun reports whether an endpoint says that it did not run the request.
 	NotRun func(resp *http.Response) bool
 	// Genuine reports whether an answer bears the endpoint's signature.
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -235,7 +235,8 @@
 	switch {
 	case err == nil && answer.Status < http.StatusInternalServerError:
 		return Answered
-	case errors.As(err, &refused) && refused.Reason == refuser.EndpointFailed && refused.Detail != problemEncoding:
+	case errors.As(err, &refused) && refused.Reason == refuser.EndpointFailed &&
+		refused.Detail != problemEncoding && refused.Detail != problemSignature:
 		return Broken
 	}
 	return Inconclusive
@@ -427,7 +428,7 @@
 	if s.Dialect.NotRun(resp) {
 		return nil, s.shed(resp, endpoint)
 	}
-	if problem := broken(resp, b); problem != "" {
+	if problem := s.broken(resp, b); problem != "" {
 		return nil, &RefusedError{
 			Refusal: &refuser.Refusal{
 				Reason: refuser.EndpointFailed,
@@ -444,12 +445,18 @@
 	}, nil
 }
 
-// problemEncoding is the detail of an answer that came in whole and is not used.
-const problemEncoding = "the answer has an encoding that was not asked for"
+// The details of answers that came in whole and are not used.
+const (
+	problemEncoding  = "the answer has an encoding that was not asked for"
+	problemSignature = "the answer lacks the endpoint's signature"
+)
 
 // broken says why an answer that came in whole is not the endpoint's, or is empty.
-func broken(resp *http.Response, b []byte) string {
+func (s *EndpointSide) broken(resp *http.Response, b []byte) string {
+	success := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 	switch {
+	case success && !s.Dialect.Genuine(resp.Header):
+		return problemSignature
 	case len(b) > maxAnswerBytes:
 		return "the answer is too large"
 	case resp.Header.Get("Content-Encoding") != "":
--- a/internal/relayer/endpointside_test.go
+++ b/internal/relayer/endpointside_test.go
@@ -29,7 +29,6 @@
 		Deadline:  "X-Deadline",
 		Expect:    "X-Expect",
 		Caller:    "X-Caller",
-		Instance:  "X-Instance",
 		ParseMillis: func(value string) (time.Duration, bool) {
 			n, err := strconv.Atoi(value)
 			return time.Duration(n) * time.Millisecond, err == nil
@@ -57,6 +56,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.arrived.Add(1)
 		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Seal", "seal")
 		handler(w, r)
 	}))
 	t.Cleanup(server.Close)
@@ -215,6 +215,23 @@
 	is.Equal(refused.Row().Ran, refuser.RanUnknown)
 }
 
+// A success that the endpoint did not sign is not its answer; a failure needs no signature.
+func TestUnsignedSuccessIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	status := http.StatusOK
+	e := newTestEndpoint(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Del("X-Seal")
+		w.WriteHeader(status)
+	})
+	_, refused := e.call(t.Context(), testCall())
+	is.Equal(refused.Reason, refuser.EndpointFailed)
+	is.Equal(refused.Row().Ran, refuser.RanUnknown)
+	status = http.StatusInternalServerError
+	answer, refused := e.call(t.Context(), testCall())
+	is.True(refused == nil)
+	is.Equal(answer.Status, http.StatusInternalServerError)
+}
+
 // An endpoint that says that it did not run a request is believed, and the request counts
 // as one that reached an endpoint.
 func TestShedRequestIsNotRun(t *testing.T) {
--- a/internal/relayer/loads.go
+++ b/internal/relayer/loads.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gentianlever/gentianlever/internal/reporter"
+	"github.com/gentianlever/gentianlever/internal/sleeper"
 )
 
 const (
@@ -121,24 +122,13 @@
 				// A lost message looks the same as one that could not be sent.
 				_, _ = conn.WriteToUDPAddrPort(message, netip.AddrPortFrom(a, l.Address.Port()))
 			}
-			if !pause(ctx, loadSpacing) {
+			if !sleeper.Sleep(ctx, loadSpacing) {
 				return
 			}
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // message returns the message that tells a load and its receivers, or nil where the load
 // has not changed enough.
 func (l *Loads) message(load reporter.Load, now time.Time) ([]byte, []netip.Addr) {
