Wire the count of dropped log lines; remove what nothing reads

Cause: the last reading found a metric that nothing set, a factor for cold endpoints that nothing fed, two constants, a method and a second name of one header.

--- a/internal/commander/sidecar.go
+++ b/internal/commander/sidecar.go
@@ -51,6 +51,7 @@
 	n := conductor.Conductor{
 		Settings: s,
 		Log:      lines.Logger(),
+		Dropped:  lines.Dropped,
 		Reload:   reload,
 	}
 	w := settingsWatcher{
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -61,6 +61,8 @@
 type Conductor struct {
 	Settings *validator.Sidecar
 	Log      *slog.Logger
+	// Dropped returns the number of log lines that were dropped.
+	Dropped func() int64
 	// Reload yields new settings after each change of them; it may be nil.
 	Reload <-chan *validator.Sidecar
 
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -36,7 +36,6 @@
 	lonelyStart = 3 * time.Second
 	// headerFetch asks a node for its routing table.
 	headerFetch = "Gentianlever-Fetch"
-	headerToken = "Gentianlever-Node"
 )
 
 // membership holds what connects the node to the others.
@@ -203,7 +202,7 @@
 		return nil, err
 	}
 	r.Header.Set(headerFetch, "table")
-	r.Header.Set(headerToken, n.callers.NodeToken)
+	r.Header.Set(relayer.HeaderNode, n.callers.NodeToken)
 	resp, err := n.toNodes.Exchange(ctx, r, address)
 	if err != nil {
 		return nil, err
@@ -251,7 +250,7 @@
 func (n *Conductor) serveTable(w http.ResponseWriter, r *http.Request, token string) {
 	v := n.follower.Current()
 	switch {
-	case subtle.ConstantTimeCompare([]byte(r.Header.Get(headerToken)), []byte(token)) != 1:
+	case subtle.ConstantTimeCompare([]byte(r.Header.Get(relayer.HeaderNode)), []byte(token)) != 1:
 		w.WriteHeader(http.StatusForbidden)
 	case v == nil:
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/conductor/observe.go
+++ b/internal/conductor/observe.go
@@ -57,8 +57,12 @@
 
 // updateGauges sets the gauges until ctx ends.
 func (n *Conductor) updateGauges(ctx context.Context) error {
+	dropped := int64(0)
 	for sleeper.Sleep(ctx, gaugeInterval) {
 		load := n.endpoint.Load()
+		before := dropped
+		dropped = n.Dropped()
+		n.meter.Add(meter.LogLinesDropped, dropped-before)
 		n.meter.Set(meter.Members, float64(n.members.Load()))
 		n.meter.Set(meter.MembersAge, time.Since(time.Unix(0, n.membersAt.Load())).Seconds())
 		n.meter.Set(meter.Running, float64(load.InFlight))
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -25,8 +25,6 @@
 	// loadMemory is the age at which a report of the number of requests has lost two
 	// thirds of its weight; most of them have ended by then.
 	loadMemory = 600 * time.Millisecond
-	// coldFactor is the factor of an endpoint that has just started.
-	coldFactor = 2.0
 	// failurePenalty, doubled with each failure in a row, is added for an endpoint that
 	// failed. It is about the time that a failure costs a caller.
 	failurePenalty = 100 * time.Millisecond
@@ -54,7 +52,6 @@
 	// Failures counts the failures in a row, and SinceFailure is the time since the last.
 	Failures     int
 	SinceFailure time.Duration
-	Cold         bool
 }
 
 // Estimate is the expected time until a candidate has answered.
@@ -79,9 +76,6 @@
 	if c.Load.Slowness > 0 {
 		factor = known*float64(c.Load.Slowness)/reporter.UsualSlowness + (1-known)*usualFactor
 	}
-	if c.Cold {
-		factor *= coldFactor
-	}
 	slots := float64(max(c.Load.Slots, 1))
 	if c.Load.Slots == 0 {
 		slots = defaultSlots
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -25,8 +25,10 @@
 	Out   io.Writer
 	Level slog.Leveler
 
-	lines   chan []byte
+	lines chan []byte
+	// dropped counts since the last report, and total since the start.
 	dropped atomic.Int64
+	total   atomic.Int64
 }
 
 // Logger returns the logger whose lines Run writes.
@@ -81,8 +83,13 @@
 	slog.New(h).Warn(LogLinesDropped, "count", n)
 }
 
-// Dropped returns the lines dropped since the last report.
-func (c *Recorder) Dropped() int64 { return c.dropped.Load() }
+func (c *Recorder) drop() {
+	c.dropped.Add(1)
+	c.total.Add(1)
+}
+
+// Dropped returns the number of lines dropped since the start.
+func (c *Recorder) Dropped() int64 { return c.total.Load() }
 
 // writer hands the encoded lines to Run.
 type writer struct {
@@ -95,7 +102,7 @@
 	select {
 	case w.recorder.lines <- line:
 	default:
-		w.recorder.dropped.Add(1)
+		w.recorder.drop()
 	}
 	return len(p), nil
 }
@@ -109,7 +116,7 @@
 // Handle encodes a line unless it is dropped.
 func (h *handler) Handle(ctx context.Context, r slog.Record) error {
 	if r.Level < slog.LevelWarn && len(h.recorder.lines) >= ordinaryLines {
-		h.recorder.dropped.Add(1)
+		h.recorder.drop()
 		return nil
 	}
 	return h.Handler.Handle(ctx, r)
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -17,8 +17,8 @@
 const (
 	// headerCall carries the encoded Call.
 	headerCall = "Gentianlever-Call"
-	// headerNode carries the token by which nodes know one another.
-	headerNode = "Gentianlever-Node"
+	// HeaderNode carries the token by which nodes know one another.
+	HeaderNode = "Gentianlever-Node"
 	// headerHint holds the time after which another attempt is worth making, in microseconds.
 	headerHint = "Gentianlever-Hint"
 	// headerArrived is set on a refusal after the request reached the endpoint.
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -48,8 +48,6 @@
 	// crossingShare is the part of the work by which an endpoint in another zone must be
 	// better, because every answer that crosses zones is paid for.
 	crossingShare = 4
-	// timeoutSlack is what a node keeps of the time left for its own answer.
-	timeoutSlack = 2 * time.Millisecond
 )
 
 // CallerSide serves requests of callers and of the local endpoint. Set the exported fields
@@ -481,7 +479,7 @@
 	}
 	out := outgoing(r, q.content)
 	out.Header[headerCall] = []string{q.call.encode()}
-	out.Header[headerNode] = []string{s.NodeToken}
+	out.Header[HeaderNode] = []string{s.NodeToken}
 	if len(q.content) > expectBytes {
 		out.Header["Expect"] = []string{"100-continue"}
 	}
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -124,7 +124,7 @@
 
 // ServeHTTP serves a request that another node forwards.
 func (s *EndpointSide) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	token := r.Header.Get(headerNode)
+	token := r.Header.Get(HeaderNode)
 	if subtle.ConstantTimeCompare([]byte(token), []byte(s.NodeToken)) != 1 {
 		writeRefused(w, &RefusedError{Refusal: &refuser.Refusal{Reason: refuser.Unauthenticated}})
 		return
