Set the nodes' token before the listeners open

Cause: the token was set when membership started, while the callers' listener already served: a data race from the time when the key came from the store.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -176,8 +176,10 @@
 
 func (n *Conductor) buildSides() {
 	s := n.Settings
+	token := forwarder.NodeToken(s.MembershipKey)
 	n.endpoint = relayer.EndpointSide{
 		Dialect:      &n.dialect,
+		NodeToken:    token,
 		Service:      s.Service,
 		Address:      s.EndpointAddress,
 		Incarnation:  n.incarnation,
@@ -193,6 +195,7 @@
 	}
 	n.loads = relayer.Loads{
 		Address: s.LoadAddress,
+		Key:     s.MembershipKey,
 		Node:    s.Name,
 		Load:    n.endpoint.Load,
 		Received: func(node string, load reporter.Load) {
@@ -201,6 +204,7 @@
 	}
 	n.callers = relayer.CallerSide{
 		Dialect:   &n.dialect,
+		NodeToken: token,
 		Node:      s.Name,
 		Service:   s.Service,
 		Parent:    n.endpoint.Parent,
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -16,7 +16,6 @@
 
 	"github.com/gentianlever/gentianlever/internal/announcer"
 	"github.com/gentianlever/gentianlever/internal/distributor"
-	"github.com/gentianlever/gentianlever/internal/forwarder"
 	"github.com/gentianlever/gentianlever/internal/messenger"
 	"github.com/gentianlever/gentianlever/internal/recorder"
 	"github.com/gentianlever/gentianlever/internal/relayer"
@@ -97,17 +96,13 @@
 	if err := n.udp.Listen(); err != nil {
 		return err
 	}
-	token := forwarder.NodeToken(key)
-	n.endpoint.NodeToken = token
-	n.callers.NodeToken = token
 	n.nodes.Store(&nodesService{
-		token:    token,
+		token:    n.callers.NodeToken,
 		messages: n.messengerService(key).Handler(),
 	})
 	n.joinedAt.Store(time.Now().UnixNano())
 	n.Log.Info(recorder.MembershipStarted)
 	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
-	n.loads.Key = key
 	p.Go(n.loads.Run)
 	p.Go(n.udp.Run)
 	p.Go(n.announcer.Run)
