Share the look-ups of members and regions; remove what nothing reads

In the relayer and the scheduler stood a time, a kind, a node, a count and three switches that nothing read, an alias of one function, and answers were told apart by the text of their detail. The look-ups stand in announcer and validator once; RefusedError says whether an answer came in whole. Ruled out: sharing the listeners of runner and conductor and the readers of headers of forwarder and relayer, which differ in behaviour.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -215,6 +215,34 @@
 	return present
 }
 
+// Peers returns the other members of this node's service that are present.
+func (a *Announcer) Peers() []Member {
+	var peers []Member
+	for _, m := range a.Present() {
+		if m.Service == a.Self.Service && m.ID != a.Self.ID {
+			peers = append(peers, m)
+		}
+	}
+	return peers
+}
+
+// MemberError reports a node that is not a member, or no longer.
+type MemberError struct {
+	ID string
+}
+
+func (e *MemberError) Error() string { return "node " + e.ID + " is not a member" }
+
+// Address returns the address of a member that is present. The error is a *MemberError.
+func (a *Announcer) Address(id string) (netip.AddrPort, error) {
+	for _, m := range a.Present() {
+		if m.ID == id {
+			return m.Address, nil
+		}
+	}
+	return netip.AddrPort{}, &MemberError{ID: id}
+}
+
 // Drain announces that this node takes no new requests.
 func (a *Announcer) Drain() {
 	a.revise(func(m *Member) { m.Draining = true })
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -7,7 +7,6 @@
 	"hash/fnv"
 	"io"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -160,7 +159,7 @@
 	n.view.SetPeers(peers)
 }
 
-// logMembers logs the members whose state is not the one that was logged last.
+// logMembers logs all members with their states.
 func (n *Conductor) logMembers(members []announcer.Member) {
 	states := make([]string, 0, len(members))
 	for _, m := range members {
@@ -179,18 +178,11 @@
 	}
 }
 
-// MemberError reports a node that is not a member, or no longer.
-type MemberError struct {
-	ID string
-}
-
-func (e *MemberError) Error() string { return "node " + e.ID + " is not a member" }
-
 // fetchTable reads the encoded routing table of a member.
 func (n *Conductor) fetchTable(ctx context.Context, member string) ([]byte, error) {
-	address, ok := n.memberAddress(member)
-	if !ok {
-		return nil, &MemberError{ID: member}
+	address, err := n.announcer.Address(member)
+	if err != nil {
+		return nil, err
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/", nil)
 	if err != nil {
@@ -216,15 +208,6 @@
 // maxTableBytes bounds a routing table; a row of the store holds 64 KB.
 const maxTableBytes = 4 << 20
 
-func (n *Conductor) memberAddress(id string) (netip.AddrPort, bool) {
-	for _, m := range n.announcer.Present() {
-		if m.ID == id {
-			return m.Address, true
-		}
-	}
-	return netip.AddrPort{}, false
-}
-
 // nodesHandler serves messages, routing tables and requests for the endpoint to other nodes.
 func (n *Conductor) nodesHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/conductor/quarantine.go
+++ b/internal/conductor/quarantine.go
@@ -78,20 +78,9 @@
 	return !errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// peers returns the other members of the node's service that are present.
-func (n *Conductor) peers() []announcer.Member {
-	var peers []announcer.Member
-	for _, m := range n.announcer.Present() {
-		if m.Service == n.Settings.Service && m.ID != n.Settings.Name {
-			peers = append(peers, m)
-		}
-	}
-	return peers
-}
-
 // trial returns the member whose endpoint may run a suspect once more.
 func (n *Conductor) trial(string) string {
-	for _, m := range n.peers() {
+	for _, m := range n.announcer.Peers() {
 		if m.State == announcer.Alive && !m.Draining {
 			return m.ID
 		}
@@ -100,7 +89,9 @@
 }
 
 // shareSuspect sends a suspect to the other members of the service.
-func (n *Conductor) shareSuspect(s quarantiner.Suspect) { n.client.ShareSuspect(n.peers(), s) }
+func (n *Conductor) shareSuspect(s quarantiner.Suspect) {
+	n.client.ShareSuspect(n.announcer.Peers(), s)
+}
 
 // attachedSuspects returns the suspect that the next membership message carries.
 func (n *Conductor) attachedSuspects() [][]byte {
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -6,10 +6,8 @@
 	"strconv"
 	"time"
 
-	"github.com/gentianlever/gentianlever/internal/forwarder"
 	"github.com/gentianlever/gentianlever/internal/refuser"
 	"github.com/gentianlever/gentianlever/internal/reporter"
-	"github.com/gentianlever/gentianlever/internal/router"
 	"github.com/gentianlever/gentianlever/internal/scheduler"
 )
 
@@ -28,16 +26,14 @@
 
 // Call is what the caller side tells the endpoint side of a request.
 type Call struct {
-	ID       string      `json:"id"`
-	Service  string      `json:"service"`
-	Route    string      `json:"route"`
-	Kind     router.Kind `json:"kind"`
-	Priority int         `json:"priority"`
-	Nested   bool        `json:"nested"`
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Route    string `json:"route"`
+	Priority int    `json:"priority"`
+	Nested   bool   `json:"nested"`
 	// Origin is the service of the VM where the request began.
 	Origin string `json:"origin"`
-	// Age, TargetLeft and TimeLeft are in microseconds, at the time of sending.
-	Age        int64 `json:"age"`
+	// TargetLeft and TimeLeft are in microseconds, at the time of sending.
 	TargetLeft int64 `json:"target-left"`
 	TimeLeft   int64 `json:"time-left"`
 	// Attempt numbers the attempts that may have reached an endpoint, from 1.
@@ -61,7 +57,6 @@
 		Kind:     c.Route,
 		Priority: c.Priority,
 		Nested:   c.Nested,
-		Arrival:  now.Add(-fromMicros(c.Age)),
 		Target:   now.Add(fromMicros(c.TargetLeft)),
 		Deadline: now.Add(fromMicros(c.TimeLeft)),
 		Final:    c.Final,
@@ -102,6 +97,8 @@
 	*refuser.Refusal
 	// Arrived is set where the endpoint received the request, whether it ran it or not.
 	Arrived bool
+	// Whole is set where the endpoint's answer came in whole and is not used.
+	Whole bool
 }
 
 // Unwrap returns the refusal.
@@ -161,6 +158,3 @@
 	}
 	return string(b)
 }
-
-// stripOwn removes the headers between nodes and those of one connection.
-func stripOwn(h http.Header) http.Header { return forwarder.Forwarded(h) }
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -14,6 +14,7 @@
 
 	"github.com/gentianlever/gentianlever/internal/budgeter"
 	"github.com/gentianlever/gentianlever/internal/exchanger"
+	"github.com/gentianlever/gentianlever/internal/forwarder"
 	"github.com/gentianlever/gentianlever/internal/placer"
 	"github.com/gentianlever/gentianlever/internal/refuser"
 	"github.com/gentianlever/gentianlever/internal/reporter"
@@ -259,7 +260,6 @@
 	}
 	q.call.Service = service
 	q.call.Route = route.Name
-	q.call.Kind = route.Kind
 	q.call.Priority = route.Priority
 	q.call.Nested = nested
 	q.call.Repeated = parent.Repeated
@@ -410,7 +410,6 @@
 // attempt sends a request to one endpoint's node. Errors are *RefusedError.
 func (s *CallerSide) attempt(ctx context.Context, r *http.Request, q *request, c candidate, estimate placer.Estimate) (*Answer, error) {
 	started := time.Now()
-	q.call.Age = micros(started.Sub(q.arrival))
 	q.call.TargetLeft = micros(q.target.Sub(started))
 	q.call.TimeLeft = micros(q.deadline.Sub(started))
 	s.View.begin(c.peer.ID)
@@ -437,7 +436,6 @@
 		failed = answer.Status >= http.StatusInternalServerError
 		q.event.Endpoint = answer.Endpoint
 	}
-	q.event.Node = c.peer.ID
 	s.View.end(c.peer.ID, failed, now)
 	s.View.Report(c.peer.ID, load, now)
 	if err == nil && !failed {
@@ -499,7 +497,7 @@
 	load, _ := reporter.Parse(resp.Header.Get(reporter.Header))
 	return &Answer{
 		Status: resp.StatusCode,
-		Header: stripOwn(resp.Header),
+		Header: forwarder.Forwarded(resp.Header),
 		Body:   b,
 		Load:   load,
 	}, nil
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -235,8 +235,7 @@
 	switch {
 	case err == nil && answer.Status < http.StatusInternalServerError:
 		return Answered
-	case errors.As(err, &refused) && refused.Reason == refuser.EndpointFailed &&
-		refused.Detail != problemEncoding && refused.Detail != problemSignature:
+	case errors.As(err, &refused) && refused.Reason == refuser.EndpointFailed && !refused.Whole:
 		return Broken
 	}
 	return Inconclusive
@@ -428,13 +427,14 @@
 	if s.Dialect.NotRun(resp) {
 		return nil, s.shed(resp, endpoint)
 	}
-	if problem := s.broken(resp, b); problem != "" {
+	if problem := s.unusable(resp, b); problem != "" {
 		return nil, &RefusedError{
 			Refusal: &refuser.Refusal{
 				Reason: refuser.EndpointFailed,
 				Detail: problem,
 			},
 			Arrived: true,
+			Whole:   len(b) <= maxAnswerBytes,
 		}
 	}
 	return &Answer{
@@ -445,22 +445,16 @@
 	}, nil
 }
 
-// The details of answers that came in whole and are not used.
-const (
-	problemEncoding  = "the answer has an encoding that was not asked for"
-	problemSignature = "the answer lacks the endpoint's signature"
-)
-
-// broken says why an answer that came in whole is not the endpoint's, or is empty.
-func (s *EndpointSide) broken(resp *http.Response, b []byte) string {
+// unusable says why an answer is not passed on, or is empty.
+func (s *EndpointSide) unusable(resp *http.Response, b []byte) string {
 	success := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 	switch {
 	case success && !s.Dialect.Genuine(resp.Header):
-		return problemSignature
+		return "the answer lacks the endpoint's signature"
 	case len(b) > maxAnswerBytes:
 		return "the answer is too large"
 	case resp.Header.Get("Content-Encoding") != "":
-		return problemEncoding
+		return "the answer has an encoding that was not asked for"
 	}
 	return ""
 }
--- a/internal/relayer/endpointside_test.go
+++ b/internal/relayer/endpointside_test.go
@@ -19,7 +19,6 @@
 	"github.com/gentianlever/gentianlever/internal/refuser"
 	"github.com/gentianlever/gentianlever/internal/registrar"
 	"github.com/gentianlever/gentianlever/internal/reporter"
-	"github.com/gentianlever/gentianlever/internal/router"
 )
 
 // testDialect is a dialect of these tests' own.
@@ -111,7 +110,6 @@
 		ID:         "r-1",
 		Service:    "proofs",
 		Route:      "view",
-		Kind:       router.Idempotent,
 		Origin:     "desk",
 		TargetLeft: micros(time.Second),
 		TimeLeft:   micros(time.Second),
--- a/internal/relayer/event.go
+++ b/internal/relayer/event.go
@@ -28,9 +28,8 @@
 	// Refused is set where a node answered in place of an endpoint.
 	Refused *RefusedError
 
-	// Endpoint is the ID of the endpoint that was tried last, and Node its node's.
+	// Endpoint is the ID of the endpoint that was tried last.
 	Endpoint string
-	Node     string
 	// Arrived is set where the endpoint has answered.
 	Arrived bool
 	// Waited is the time before the request had a slot, and Served that at the endpoint.
--- a/internal/relayer/view.go
+++ b/internal/relayer/view.go
@@ -33,10 +33,8 @@
 	peer     Peer
 	load     reporter.Load
 	reported time.Time
-	// sent counts the node's own requests that the report does not show, and open those
-	// that have no outcome yet.
+	// sent counts the node's own requests that the report does not show.
 	sent     int
-	open     int
 	failures int
 	failed   time.Time
 }
@@ -78,7 +76,6 @@
 	defer v.mu.Unlock()
 	if k := v.byID[id]; k != nil {
 		k.sent++
-		k.open++
 	}
 }
 
@@ -90,7 +87,6 @@
 	if k == nil {
 		return
 	}
-	k.open = max(k.open-1, 0)
 	k.sent = max(k.sent-1, 0)
 	if failed {
 		k.failures++
--- a/internal/runner/claims.go
+++ b/internal/runner/claims.go
@@ -101,9 +101,9 @@
 // claimer knows that the claim's holder is gone; the members' record of its start
 // is not used, because it may lag behind the claim.
 func (n *Runner) askClaimant(ctx context.Context, claimant, service, key string) (claimer.Status, *claimer.Answer, error) {
-	address, ok := n.nodeAddress(claimant)
-	if !ok {
-		return claimer.Status{}, nil, &MemberError{ID: claimant}
+	address, err := n.announcer.Address(claimant)
+	if err != nil {
+		return claimer.Status{}, nil, err
 	}
 	status, recorded, err := n.client.ClaimStatus(ctx, address, service, key)
 	if err != nil {
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/gentianlever/gentianlever/internal/administrator"
@@ -96,30 +95,14 @@
 	n.Log.Error("accepted document is not valid on this node", "service", c.Service, "version", c.Version, "error", err)
 }
 
-// MemberError reports a node that is not a member, or no longer.
-type MemberError struct {
-	ID string
-}
-
-func (e *MemberError) Error() string { return "node " + e.ID + " is not a member" }
-
 func (n *Runner) fetchChanges(ctx context.Context, from string, since uint64) ([]distributor.Change, error) {
-	address, ok := n.nodeAddress(from)
-	if !ok {
-		return nil, &MemberError{ID: from}
+	address, err := n.announcer.Address(from)
+	if err != nil {
+		return nil, err
 	}
 	return n.client.Changes(ctx, address, since)
 }
 
-func (n *Runner) nodeAddress(id string) (netip.AddrPort, bool) {
-	for _, m := range n.announcer.Present() {
-		if m.ID == id {
-			return m.Address, true
-		}
-	}
-	return netip.AddrPort{}, false
-}
-
 // nodesHandler serves the service between nodes beside the calls to the endpoint.
 func (n *Runner) nodesHandler(calls http.Handler) http.Handler {
 	service := (&messenger.Service{
--- a/internal/runner/suspects.go
+++ b/internal/runner/suspects.go
@@ -6,22 +6,11 @@
 	"github.com/gentianlever/gentianlever/internal/quarantiner"
 )
 
-// peers returns the other members of the node's service that are present.
-func (n *Runner) peers() []announcer.Member {
-	var peers []announcer.Member
-	for _, m := range n.announcer.Present() {
-		if m.Service == n.Settings.Service && m.ID != n.Settings.Name {
-			peers = append(peers, m)
-		}
-	}
-	return peers
-}
-
 // trial returns the member whose endpoint may run a suspect once more: one that is alive
 // and not draining, where there is one.
 func (n *Runner) trial(string) string {
 	var ready []announcer.Member
-	for _, m := range n.peers() {
+	for _, m := range n.announcer.Peers() {
 		if m.State == announcer.Alive && !m.Draining {
 			ready = append(ready, m)
 		}
@@ -35,7 +24,7 @@
 }
 
 // shareSuspect sends a suspect to the other members of the service.
-func (n *Runner) shareSuspect(s quarantiner.Suspect) { n.client.ShareSuspect(n.peers(), s) }
+func (n *Runner) shareSuspect(s quarantiner.Suspect) { n.client.ShareSuspect(n.announcer.Peers(), s) }
 
 // attachedSuspects returns the suspect that the next membership message carries.
 func (n *Runner) attachedSuspects() [][]byte {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -44,8 +44,6 @@
 	Priority int
 	// Nested is set for a call of work that already holds a slot elsewhere.
 	Nested bool
-	// Arrival is the time at the first node.
-	Arrival time.Time
 	// Target is the time until which an answer has its full worth, and Deadline the one
 	// until which it has any.
 	Target   time.Time
@@ -100,11 +98,6 @@
 // before use and may change between calls.
 type Scheduler struct {
 	Slots int
-	// NoOrder serves in the order of arrival, NoTarget accepts whatever can meet its
-	// deadline, and NoCrowding uses all slots. Tests show with them what the mechanisms gain.
-	NoOrder    bool
-	NoTarget   bool
-	NoCrowding bool
 
 	running  int
 	waiting  []*Request
@@ -219,7 +212,7 @@
 // limit is the time until which a request is worth waiting for: its target, or its
 // deadline where the target has passed.
 func (s *Scheduler) limit(r *Request) time.Time {
-	if s.NoTarget || r.late {
+	if r.late {
 		return r.Deadline
 	}
 	return r.Target
@@ -240,8 +233,6 @@
 // wastes the work of its caller, then by rank, then by the time that is left.
 func (s *Scheduler) before(a, b *Request) bool {
 	switch {
-	case s.NoOrder:
-		return false
 	case a.late != b.late && !a.Nested && !b.Nested:
 		return b.late
 	case a.Nested != b.Nested:
@@ -329,9 +320,6 @@
 // Capacity returns the number of requests that the endpoint runs at once at its best:
 // its slots, or fewer where it slows down when it is nearly full.
 func (s *Scheduler) Capacity() int {
-	if s.NoCrowding {
-		return s.Slots
-	}
 	return s.crowd.capacity(s.Slots)
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -15,7 +15,6 @@
 	return &Request{
 		Kind:     "view",
 		Priority: 2,
-		Arrival:  at(now),
 		Target:   at(now + 400),
 		Deadline: at(now + 1000),
 		Guess:    100 * time.Millisecond,
--- a/internal/validator/settings.go
+++ b/internal/validator/settings.go
@@ -74,9 +74,11 @@
 }
 
 // Region returns the region of an availability zone, empty for an unknown one.
-func (s *Settings) Region(zone string) string {
-	for _, z := range s.AvailabilityZones {
-		if z.Name == zone {
+func (s *Settings) Region(zone string) string { return regionOf(s.AvailabilityZones, zone) }
+
+func regionOf(zones []AvailabilityZone, name string) string {
+	for _, z := range zones {
+		if z.Name == name {
 			return z.Region
 		}
 	}
--- a/internal/validator/sidecar.go
+++ b/internal/validator/sidecar.go
@@ -57,14 +57,7 @@
 }
 
 // Region returns the region of an availability zone, empty for an unknown one.
-func (s *Sidecar) Region(zone string) string {
-	for _, z := range s.AvailabilityZones {
-		if z.Name == zone {
-			return z.Region
-		}
-	}
-	return ""
-}
+func (s *Sidecar) Region(zone string) string { return regionOf(s.AvailabilityZones, zone) }
 
 // address is a field with an IP address and port.
 func address(name, help string, place func(s *Sidecar) *netip.AddrPort) field[Sidecar] {
