Split the long files of the relayer and of the platform's tests

Attempts, admission, the exchange with the endpoint and the tests' cluster stand in files of their own. Ruled out: any change beyond the move; maxAnswerBytes and unreachablePause became constants of their own, asRefused stands with its type.

--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -158,3 +159,18 @@
 	}
 	return string(b)
 }
+
+func asRefused(err error) *RefusedError {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return refused
+	}
+	var refusal *refuser.Refusal
+	if !errors.As(err, &refusal) {
+		refusal = &refuser.Refusal{
+			Reason: refuser.NodeFailed,
+			Detail: err.Error(),
+		}
+	}
+	return &RefusedError{Refusal: refusal}
+}
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"bytes"
 	"context"
 	"crypto/subtle"
 	"errors"
@@ -9,28 +8,20 @@
 	"net/http"
 	"net/netip"
 	"net/url"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/gentianlever/gentianlever/internal/exchanger"
-	"github.com/gentianlever/gentianlever/internal/forwarder"
 	"github.com/gentianlever/gentianlever/internal/refuser"
 	"github.com/gentianlever/gentianlever/internal/registrar"
 	"github.com/gentianlever/gentianlever/internal/reporter"
 	"github.com/gentianlever/gentianlever/internal/scheduler"
 )
 
-const (
-	// maxAnswerBytes bounds the answer of an endpoint, which is held whole so that a
-	// broken one is never taken for complete. It is over a hundred times the largest
-	// answer of the known services.
-	maxAnswerBytes = 4 << 20
-	// unreachablePause is the time for which an endpoint that refused a connection is not
-	// tried again; a restart takes seconds.
-	unreachablePause = 200 * time.Millisecond
-)
+// unreachablePause is the time for which an endpoint that refused a connection is not
+// tried again; a restart takes seconds.
+const unreachablePause = 200 * time.Millisecond
 
 // EndpointSide admits requests to the node's own endpoint. Set the exported fields before use.
 type EndpointSide struct {
@@ -273,242 +264,6 @@
 	return nil
 }
 
-// admit waits for a slot. A nil error means that request holds one until release.
-func (s *EndpointSide) admit(ctx context.Context, request *scheduler.Request, e *Event) error {
-	now := time.Now()
-	s.mu.Lock()
-	s.scheduler.Slots = s.Endpoint().Slots
-	d := s.scheduler.Offer(request, now)
-	e.Decision = d
-	e.Slowness, e.SlownessAge = s.scheduler.Slowness(now)
-	e.Running, e.Queued = s.scheduler.Load()
-	var wait chan error
-	if d.Verdict == scheduler.Wait {
-		wait = make(chan error, 1)
-		if s.waiting == nil {
-			s.waiting = make(map[*scheduler.Request]chan error)
-		}
-		s.waiting[request] = wait
-		s.arm()
-	}
-	s.mu.Unlock()
-	s.LoadChanged()
-	switch d.Verdict {
-	case scheduler.Run:
-		return nil
-	case scheduler.Wait:
-		return s.await(ctx, request, wait)
-	}
-	return refusalOf(d)
-}
-
-// refusalOf names the refusal of a scheduler's decision.
-func refusalOf(d scheduler.Decision) error {
-	reason := refuser.QueueFull
-	switch d.Verdict {
-	case scheduler.Slow:
-		reason = refuser.EndpointSlow
-	case scheduler.Hopeless:
-		reason = refuser.DeadlineUnreachable
-	}
-	return &refuser.Refusal{
-		Reason: reason,
-		Hint:   d.Hint,
-	}
-}
-
-func (s *EndpointSide) await(ctx context.Context, request *scheduler.Request, wait chan error) error {
-	select {
-	case err := <-wait:
-		return err
-	case <-ctx.Done():
-	}
-	s.mu.Lock()
-	withdrawn := s.scheduler.Withdraw(request)
-	delete(s.waiting, request)
-	s.mu.Unlock()
-	if !withdrawn {
-		// The slot or the refusal came at the same moment.
-		if err := <-wait; err != nil {
-			return err
-		}
-		s.release(request, false)
-	}
-	reason := refuser.Cancelled
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		reason = refuser.DeadlineExceeded
-	}
-	return &refuser.Refusal{
-		Reason: reason,
-		Ran:    refuser.NotRun,
-	}
-}
-
-// release frees the slot of a request and starts those that wait for it.
-func (s *EndpointSide) release(request *scheduler.Request, complete bool) {
-	s.mu.Lock()
-	s.scheduler.Done(request, complete, time.Now())
-	s.dispatch()
-	s.mu.Unlock()
-	s.LoadChanged()
-}
-
-// dispatch tells waiting requests that they may run or can no longer be served. s.mu is held.
-func (s *EndpointSide) dispatch() {
-	now := time.Now()
-	for _, r := range s.scheduler.Expired(now) {
-		s.tell(r, &refuser.Refusal{
-			Reason: refuser.QueueFull,
-			Detail: "waited until the target was out of reach",
-		})
-	}
-	for _, r := range s.scheduler.Next(now) {
-		s.tell(r, nil)
-	}
-	s.arm()
-}
-
-func (s *EndpointSide) tell(r *scheduler.Request, err error) {
-	if wait, ok := s.waiting[r]; ok {
-		delete(s.waiting, r)
-		wait <- err
-	}
-}
-
-// sweepInterval is the precision with which waiting requests are given up.
-const sweepInterval = 10 * time.Millisecond
-
-// arm has waiting requests examined again soon. s.mu is held.
-func (s *EndpointSide) arm() {
-	if len(s.waiting) == 0 || s.timer != nil {
-		return
-	}
-	s.timer = time.AfterFunc(sweepInterval, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.timer = nil
-		s.dispatch()
-	})
-}
-
-// exchange sends a request that holds a slot to the endpoint.
-func (s *EndpointSide) exchange(ctx context.Context, c *Call, r *http.Request, content []byte, deadline time.Time, e *Event) (*Answer, error) {
-	endpoint := s.Endpoint()
-	e.Endpoint = endpoint.ID
-	out := outgoing(r, content)
-	h := out.Header
-	h[s.Dialect.Expect] = []string{endpoint.ID}
-	h[s.Dialect.Caller] = []string{c.Origin}
-	left := max(time.Until(deadline), 0)
-	h[s.Dialect.Deadline] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
-	sent := time.Now()
-	resp, err := s.Exchanger.ExchangeReady(ctx, out, s.Address, func() error {
-		// The last moment at which a departure keeps the request from the endpoint.
-		if now := s.Endpoint(); now.ID != endpoint.ID || now.Started != endpoint.Started || !now.Available() {
-			return &refuser.Refusal{
-				Reason: refuser.Draining,
-				Detail: "endpoint " + endpoint.ID,
-			}
-		}
-		sent = time.Now()
-		return nil
-	})
-	if err != nil {
-		return nil, s.failed(ctx, err)
-	}
-	e.Arrived = true
-	s.learn(resp.Header)
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	_ = resp.Body.Close()
-	e.Served = time.Since(sent)
-	if err != nil {
-		return nil, s.failed(ctx, err)
-	}
-	if s.Dialect.NotRun(resp) {
-		return nil, s.shed(resp, endpoint)
-	}
-	if problem := s.unusable(resp, b); problem != "" {
-		return nil, &RefusedError{
-			Refusal: &refuser.Refusal{
-				Reason: refuser.EndpointFailed,
-				Detail: problem,
-			},
-			Arrived: true,
-			Whole:   len(b) <= maxAnswerBytes,
-		}
-	}
-	return &Answer{
-		Status:   resp.StatusCode,
-		Header:   forwarder.Forwarded(resp.Header),
-		Body:     b,
-		Endpoint: endpoint.ID,
-	}, nil
-}
-
-// unusable says why an answer is not passed on, or is empty.
-func (s *EndpointSide) unusable(resp *http.Response, b []byte) string {
-	success := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
-	switch {
-	case success && !s.Dialect.Genuine(resp.Header):
-		return "the answer lacks the endpoint's signature"
-	case len(b) > maxAnswerBytes:
-		return "the answer is too large"
-	case resp.Header.Get("Content-Encoding") != "":
-		return "the answer has an encoding that was not asked for"
-	}
-	return ""
-}
-
-// shed makes the refusal of a request that the endpoint says it did not run.
-func (s *EndpointSide) shed(resp *http.Response, endpoint registrar.Endpoint) error {
-	if resp.StatusCode == http.StatusMisdirectedRequest {
-		s.mu.Lock()
-		s.misdirected = endpoint.ID
-		s.mu.Unlock()
-	}
-	return &RefusedError{
-		Refusal: &refuser.Refusal{
-			Reason: refuser.EndpointShed,
-			Detail: "status " + strconv.Itoa(resp.StatusCode),
-		},
-		Arrived: true,
-	}
-}
-
-// failed names the refusal of an exchange that broke.
-func (s *EndpointSide) failed(ctx context.Context, err error) error {
-	var refusal *refuser.Refusal
-	if errors.As(err, &refusal) {
-		return refusal
-	}
-	reason, ran := refuser.EndpointFailed, refuser.RanUnknown
-	var connect *exchanger.ConnectError
-	var unsent *exchanger.NotSentError
-	notSent := errors.As(err, &connect) || errors.As(err, &unsent)
-	if notSent {
-		ran = refuser.NotRun
-	}
-	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, context.DeadlineExceeded):
-		reason = refuser.Timeout
-	case cause != nil:
-		reason = refuser.Cancelled
-	case notSent:
-		reason = refuser.EndpointUnreachable
-		s.mu.Lock()
-		s.unreachable = time.Now()
-		s.mu.Unlock()
-	}
-	return &RefusedError{
-		Refusal: &refuser.Refusal{
-			Reason: reason,
-			Ran:    ran,
-			Detail: err.Error(),
-		},
-		Arrived: !notSent,
-	}
-}
-
 // learn takes what the endpoint says of its load.
 func (s *EndpointSide) learn(h http.Header) {
 	load, ok := s.Dialect.EndpointLoad(h)
@@ -579,70 +334,3 @@
 	s.LoadChanged()
 	return nil
 }
-
-// outgoing makes the request for the next hop with the target as it was received.
-func outgoing(r *http.Request, content []byte) *http.Request {
-	h := forwarder.Forwarded(r.Header)
-	delete(h, "Expect")
-	if _, ok := h["User-Agent"]; !ok {
-		// Keeps http.Request.Write from adding its own.
-		h["User-Agent"] = []string{""}
-	}
-	out := &http.Request{
-		Method:        r.Method,
-		URL:           targetOf(r),
-		Host:          r.Host,
-		Header:        h,
-		Body:          http.NoBody,
-		ContentLength: int64(len(content)),
-	}
-	if len(content) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(content))
-	}
-	return out
-}
-
-// targetOf returns a URL that is written exactly as the request line had it.
-func targetOf(r *http.Request) *url.URL {
-	if r.RequestURI == "" {
-		return r.URL
-	}
-	path, query, found := bytes.Cut([]byte(r.RequestURI), []byte("?"))
-	return &url.URL{
-		// A path that begins with two slashes would be read as a host.
-		Opaque:     string(path),
-		RawQuery:   string(query),
-		ForceQuery: found && len(query) == 0,
-	}
-}
-
-func writeAnswer(w http.ResponseWriter, a *Answer) {
-	h := w.Header()
-	if _, ok := h["Content-Type"]; !ok {
-		// Keeps the server from guessing one.
-		h["Content-Type"] = nil
-	}
-	// The answer to a HEAD request states the length of a body that it does not have.
-	stated := len(a.Body) == 0 && len(h["Content-Length"]) > 0
-	if !stated && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
-		h["Content-Length"] = []string{strconv.Itoa(len(a.Body))}
-	}
-	w.WriteHeader(a.Status)
-	// A failed write means that the receiver has gone.
-	_, _ = w.Write(a.Body)
-}
-
-func asRefused(err error) *RefusedError {
-	var refused *RefusedError
-	if errors.As(err, &refused) {
-		return refused
-	}
-	var refusal *refuser.Refusal
-	if !errors.As(err, &refusal) {
-		refusal = &refuser.Refusal{
-			Reason: refuser.NodeFailed,
-			Detail: err.Error(),
-		}
-	}
-	return &RefusedError{Refusal: refusal}
-}
