State the default limit of a request body once

Cause: relayer and conductor each had 64 MB as the limit while the routing table states none. The conductor now uses the relayer's.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -238,12 +238,9 @@
 	if t := n.follower.Table(); t != nil && t.Limits.MaxBodyBytes > 0 {
 		return t.Limits.MaxBodyBytes
 	}
-	return maxNodeBody
+	return relayer.DefaultBodyBytes
 }
 
-// maxNodeBody bounds bodies between nodes while no routing table states a limit.
-const maxNodeBody = 64 << 20
-
 // tableApplied puts the limits of the node's own service in force and tells the members.
 func (n *Conductor) tableApplied(v *follower.Version, source string) {
 	n.Log.Info(recorder.TableApplied, "version", v.Table.Version, "source", source, "routes", len(v.Table.Routes))
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -26,8 +26,8 @@
 	// maxHeldBytes bounds the request bodies that a node holds at one time. It is a third
 	// of the memory of the smallest VM.
 	maxHeldBytes = 64 << 20
-	// defaultBodyBytes bounds a request body while the routing table states no limit.
-	defaultBodyBytes = 64 << 20
+	// DefaultBodyBytes bounds a request body while the routing table states no limit.
+	DefaultBodyBytes = 64 << 20
 	// expectBytes is the size from which a body is sent to another node only after that
 	// node has a slot for the request.
 	expectBytes = 16 << 10
@@ -270,7 +270,7 @@
 
 func (s *CallerSide) readBody(w http.ResponseWriter, r *http.Request, q *request, limit int64) error {
 	if limit <= 0 {
-		limit = defaultBodyBytes
+		limit = DefaultBodyBytes
 	}
 	if r.ContentLength > limit {
 		return &refuser.Refusal{Reason: refuser.RequestTooLarge}
