Keep responses of the table service from being lost beside load

The services' client library closes a request's body once the response's header is there; the WriteTo of its closed body returns io.EOF, which net/http, looking for bytes beyond the stated length, takes for a failed write, and it closes the connection on which the response is being read. Reads of nodes then failed as if the platform were away. The client hides WriteTo from net/http.

--- a/internal/persister/objects.go
+++ b/internal/persister/objects.go
@@ -20,6 +20,7 @@
 		persister: p,
 		bucket:    p.Platform.Bucket,
 		client: s3.New(s3.Options{
+			HTTPClient:                 newClient(),
 			BaseEndpoint:               aws.String(p.Platform.ObjectsURL),
 			Region:                     p.Platform.Region,
 			Credentials:                credentials.NewStaticCredentialsProvider(p.Platform.AccessKey, p.Platform.SecretKey, ""),
--- a/internal/persister/table.go
+++ b/internal/persister/table.go
@@ -28,6 +28,7 @@
 		persister: p,
 		name:      p.Platform.Table,
 		client: dynamodb.New(dynamodb.Options{
+			HTTPClient:   newClient(),
 			BaseEndpoint: aws.String(p.Platform.TableURL),
 			Region:       p.Platform.Region,
 			Credentials:  credentials.NewStaticCredentialsProvider(p.Platform.AccessKey, p.Platform.SecretKey, ""),
