Place a waiting upload again after a second, and let a new node's first uploads move

Cause: TestPlannedStopFinishesUploads failed in 1 of 20 runs. The metrics of failing runs show two states. Three, three and two uploads at the endpoints, and one queued: the node had used its two first tokens for moves, so the third attempt forbade a move and queued at a full endpoint. And three, three and none: the uploads were queued before the node had heard of the third endpoint, and nothing looked again. The moves of uploads have a budget of their own that starts full; uploads are never hedged, so it refills by that share too and attempts stay within 1.3 per call. An upload that has waited for a second is refused as not run, and its sender places it again with what it knows by then; its place in the queue goes by its arrival as before. Ruled out: the new budget alone (3 of 60 runs still failed); forgetting the refusing endpoints without a wait (all of 150 runs failed, since the sender chose the same one again). TestFirstLongCallsMayMove, TestWaitingLongRequestIsPlacedAgain and TestWaitingUploadMovesToNewEndpoint failed before. TestLateCopies asked that a second copy wins among answers that differ by 3 ms, and failed in 1 of 16 runs beside load; one answer in 50 now takes 50 ms. It keeps its check.

--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,8 @@
 run:
 	go run ./test/run
 
-# Passes over the tests that KNOWN-RED.txt lists.
-KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd '|' -)
+# Passes over the tests that KNOWN-RED.txt lists; without that file all tests run.
+KNOWN_RED := $(shell cat KNOWN-RED.txt 2>/dev/null | sed -n 's/^test: //p' | paste -sd '|' -)
 
 test:
 	go test -skip '^($(KNOWN_RED))$$' ./...
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -31,7 +31,8 @@
 	Arrival  time.Time
 	Deadline time.Time
 	// LeastLoad is the least load per slot that the sender knows of elsewhere, for a
-	// long request per long slot; negative where it knows nothing.
+	// long request per long slot. Negative forbids a refusal for placement; positive
+	// infinity allows it where the sender knows of no other endpoint.
 	LeastLoad float64
 	// Hedge marks a second copy, which takes a free slot or is refused.
 	Hedge bool
@@ -121,12 +122,18 @@
 }
 
 func (a *Admitter) wait(ctx context.Context, w *waiter) (*Ticket, error) {
-	timer := time.NewTimer(time.Until(w.request.Deadline))
+	end := &refuser.Refusal{Reason: refuser.DeadlineExceeded}
+	limit := time.Until(w.request.Deadline)
+	if a.movable(w.request) && limit > replaceAfter {
+		end = &refuser.Refusal{Reason: refuser.Placement}
+		limit = replaceAfter
+	}
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case <-w.settled:
 	case <-timer.C:
-		a.abandon(w, &refuser.Refusal{Reason: refuser.DeadlineExceeded})
+		a.abandon(w, end)
 	case <-ctx.Done():
 		a.abandon(w, contextRefusal(ctx.Err()))
 	}
--- a/internal/admitter/placement_test.go
+++ b/internal/admitter/placement_test.go
@@ -1,6 +1,7 @@
 package admitter_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -92,6 +93,66 @@
 	}
 }
 
+// Guards against an upload that waits at a full endpoint for the length of another one
+// although its sender has learned of a free endpoint since, and against a move of one that
+// must stay.
+func TestWaitingLongRequestIsPlacedAgain(t *testing.T) {
+	cases := []struct {
+		name     string
+		change   func(r *admitter.Request)
+		expected refuser.Reason
+	}{
+		{
+			name:     "no other endpoint known",
+			change:   func(r *admitter.Request) { r.LeastLoad = math.Inf(1) },
+			expected: refuser.Placement,
+		},
+		{
+			name:     "all full",
+			change:   func(r *admitter.Request) { r.LeastLoad = 1 },
+			expected: refuser.Placement,
+		},
+		{
+			name:     "may not move",
+			change:   func(r *admitter.Request) { r.LeastLoad = -1 },
+			expected: refuser.DeadlineExceeded,
+		},
+		{
+			name: "claimed",
+			change: func(r *admitter.Request) {
+				r.LeastLoad = 1
+				r.Claimed = true
+			},
+			expected: refuser.DeadlineExceeded,
+		},
+		{
+			name: "short",
+			change: func(r *admitter.Request) {
+				r.LeastLoad = 1
+				r.Class = admitter.Short
+			},
+			expected: refuser.DeadlineExceeded,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				a := server()
+				occupy(t, a, admitter.Long, 3)
+				occupy(t, a, admitter.Short, 12)
+				r := request(time.Minute)
+				r.Class = admitter.Long
+				c.change(&r)
+				start := time.Now()
+				_, err := a.Admit(t.Context(), r)
+				is.Equal(reason(err), c.expected)
+				is.True(c.expected != refuser.Placement || time.Since(start) <= 2*time.Second)
+			})
+		})
+	}
+}
+
 // Guards against a load report whose long part differs from what the admitter runs.
 func TestLongLoad(t *testing.T) {
 	for seed := range seeds {
--- a/internal/admitter/refusal.go
+++ b/internal/admitter/refusal.go
@@ -18,6 +18,11 @@
 	// is worth a move, because waiting costs the time of an upload. It is below 1 so
 	// that the rounding of the least load in its header does not hide that slot.
 	longSurplus = 0.5
+	// replaceAfter is the wait after which a long request is placed again, with what its
+	// sender knows by then: members and loads spread within about a second, and an
+	// endpoint that joined or freed a slot since would stay empty for the length of an
+	// upload. The request keeps its place by its arrival.
+	replaceAfter = time.Second
 )
 
 // refusal decides whether r is refused now; nil admits or queues it.
@@ -115,6 +120,11 @@
 	return float64(total) > r.LeastLoad*float64(limit)+placementSurplus
 }
 
+// movable reports whether a waiting request is placed again after replaceAfter.
+func (a *Admitter) movable(r Request) bool {
+	return a.lane(r.Class) == Long && !a.NoPlacement && !r.Claimed && r.LeastLoad >= 0
+}
+
 // longMisplaced is misplaced for a long request. Where a long slot is left over, the
 // request waits only for its turn among short ones.
 func (a *Admitter) longMisplaced(r Request, limit int) bool {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -55,8 +56,12 @@
 	if hedge {
 		s.Counters.Add(counter.HedgesSent, 1)
 	}
-	if hedge || !s.Retrier.MayMove(&c.Call) {
+	switch {
+	case hedge || !s.Retrier.MayMove(&c.Call):
 		a.LeastLoad = -1
+	case c.Long && a.LeastLoad < 0:
+		// Another endpoint may become known while the request waits.
+		a.LeastLoad = math.Inf(1)
 	}
 	resp, err := s.send(ctx, r, c, a, number, hedge)
 	if err != nil {
--- a/internal/forwarder/callerside.go
+++ b/internal/forwarder/callerside.go
@@ -49,8 +49,9 @@
 	// by the goroutine of the request alone.
 	marked bool
 
-	mu sync.Mutex
-	// tried are the endpoints of all attempts so far.
+	mu       sync.Mutex
+	attempts int
+	// tried are the endpoints that are not chosen again.
 	tried []string
 	// unknown says that an attempt ended so that the request may have run.
 	unknown bool
@@ -91,6 +92,7 @@
 func (s *CallerSide) run(ctx context.Context, r *http.Request, c *call, h *hedge) (*response, error) {
 	var last *refuser.Refusal
 	for {
+		started := time.Now()
 		resp, err := s.firstCopy(ctx, r, c)
 		resp, err = h.settle(resp, err)
 		if err == nil {
@@ -101,7 +103,7 @@
 			return h.last(last)
 		}
 		last = refusal
-		if ctx.Err() != nil || !c.body.replayable() || !s.retry(c, refusal) {
+		if ctx.Err() != nil || !c.body.replayable() || !s.retry(c, refusal, time.Since(started)) {
 			return h.last(refusal)
 		}
 	}
@@ -209,6 +211,15 @@
 	}
 }
 
+// placeAgain lets the next attempt choose among all endpoints, as for a new call. What was
+// refused before the wait may be free now.
+func (c *call) placeAgain() {
+	c.Call.PlaceAgain()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tried = nil
+}
+
 // try adds an endpoint to those tried and returns the number of the attempt. It returns
 // false where the call's other copy has taken the same endpoint since it was chosen.
 func (c *call) try(endpoint string) (int, bool) {
@@ -218,7 +229,8 @@
 		return 0, false
 	}
 	c.tried = append(c.tried, endpoint)
-	return len(c.tried), true
+	c.attempts++
+	return c.attempts, true
 }
 
 // setUnknown records that an attempt may have run.
@@ -234,12 +246,19 @@
 	return c.unknown
 }
 
-// retry reports whether another endpoint is tried.
-func (s *CallerSide) retry(c *call, refusal *refuser.Refusal) bool {
+// placedAgain is the time of an attempt from which a refusal for placement came after a
+// wait for a slot; endpoints place an upload again after a second.
+const placedAgain = 500 * time.Millisecond
+
+// retry reports whether another endpoint is tried after an attempt of a duration.
+func (s *CallerSide) retry(c *call, refusal *refuser.Refusal, waited time.Duration) bool {
 	again, reason := s.Retrier.Retry(&c.Call, refusal)
 	s.Counters.AddLabelled(counter.Retried, string(reason))
 	if again && reason != retrier.Moved {
 		c.marked = true
 	}
+	if again && reason == retrier.Moved && waited >= placedAgain {
+		c.placeAgain()
+	}
 	return again
 }
--- a/internal/forwarder/hedge_test.go
+++ b/internal/forwarder/hedge_test.go
@@ -117,7 +117,12 @@
 func TestLateCopies(t *testing.T) {
 	is := is.New(t)
 	echo := func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(rand.N(3 * time.Millisecond))
+		wait := rand.N(3 * time.Millisecond)
+		if rand.N(50) == 0 {
+			// So much later than the others that a second copy overtakes it on a busy machine too.
+			wait = 50 * time.Millisecond
+		}
+		time.Sleep(wait)
 		body, _ := io.ReadAll(r.Body)
 		_, _ = w.Write(body)
 	}
--- a/internal/forwarder/upload_test.go
+++ b/internal/forwarder/upload_test.go
@@ -44,6 +44,54 @@
 	is.Equal(read.Load(), int64(0))
 }
 
+// Guards against an upload that waits at the only endpoint known at its arrival although
+// an empty one has joined since.
+func TestWaitingUploadMovesToNewEndpoint(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	busy := endpoint(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-release
+	})
+	defer close(release)
+	empty := endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, n)
+	})
+	s := start(t, busy, empty)
+	known := func(i int) picker.Endpoint {
+		return picker.Endpoint{
+			ID:      fmt.Sprint(i),
+			Service: "proofs",
+			Address: s.nodes[i].address,
+		}
+	}
+	s.caller.Picker.SetEndpoints("proofs", []picker.Endpoint{known(0)})
+	const size = 1 << 20
+	upload := func() (result, error) { return s.do("PUT", "/upload", io.LimitReader(zeros{}, size), nil) }
+	for range 3 {
+		go func() { _, _ = upload() }()
+	}
+	for s.nodes[0].side.Admitter.Load().LongInFlight < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	answered := make(chan string, 1)
+	go func() {
+		got, _ := upload()
+		answered <- got.body
+	}()
+	for s.nodes[0].side.Admitter.Load().QueuedLong == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.caller.Picker.SetEndpoints("proofs", []picker.Endpoint{known(0), known(1)})
+	select {
+	case body := <-answered:
+		is.Equal(body, fmt.Sprint(size))
+	case <-time.After(20 * time.Second):
+		t.Fatal("the upload still waits")
+	}
+}
+
 // Guards against a body whose beginning a failed attempt took, so that the next attempt
 // sends the remainder as if it were the whole.
 func TestUploadAfterBrokenContinue(t *testing.T) {
--- a/internal/retrier/bucket.go
+++ b/internal/retrier/bucket.go
@@ -14,6 +14,10 @@
 
 // bucket is a token bucket. It may go below zero where the taker can't wait.
 type bucket struct {
+	// first are the tokens before the first call; zero means firstTokens. The bucket for moves
+	// of long calls starts full: a node that has just started knows nothing of other nodes'
+	// uploads, and an upload that queues at a full endpoint waits for the length of one.
+	first    float64
 	tokens   float64
 	refilled time.Time
 }
@@ -21,7 +25,7 @@
 // add refills by a share of one call and by the floor for the time since the last refill.
 func (b *bucket) add(share float64, now time.Time) {
 	if b.refilled.IsZero() {
-		b.tokens = firstTokens
+		b.tokens = orDefault(b.first, firstTokens)
 	} else {
 		share += floorRate * now.Sub(b.refilled).Seconds()
 	}
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -61,7 +61,9 @@
 	retries bucket
 	repeats bucket
 	moves   bucket
-	hedges  bucket
+	// longMoves is taken by the moves of long calls instead of moves.
+	longMoves bucket
+	hedges    bucket
 	// yield is the moving average of the hedges that found a free slot.
 	yield   float64
 	latency estimator
@@ -99,8 +101,22 @@
 	retry := orDefault(r.RetryShare, defaultRetryShare)
 	b.retries.add(retry, now)
 	b.repeats.add(retry*share, now)
-	b.moves.add(orDefault(r.MoveShare, defaultMoveShare), now)
-	b.hedges.add(orDefault(r.HedgeShare, defaultHedgeShare)*b.yield/float64(depth), now)
+	move, hedge := orDefault(r.MoveShare, defaultMoveShare), orDefault(r.HedgeShare, defaultHedgeShare)
+	if c.Long {
+		// Long calls are never hedged, so their moves get that share too.
+		b.longMoves.add(move+hedge, now)
+		return
+	}
+	b.moves.add(move, now)
+	b.hedges.add(hedge*b.yield/float64(depth), now)
+}
+
+// movesOf returns the budget for the moves of a call.
+func (b *budget) movesOf(c *Call) *bucket {
+	if c.Long {
+		return &b.longMoves
+	}
+	return &b.moves
 }
 
 func orDefault(share, otherwise float64) float64 {
@@ -121,7 +137,10 @@
 		if len(r.services) >= maxServices {
 			r.dropOldest()
 		}
-		b = &budget{yield: 1}
+		b = &budget{
+			longMoves: bucket{first: bucketSize},
+			yield:     1,
+		}
 		r.services[service] = b
 	}
 	b.used = now
@@ -144,9 +163,13 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return c.moves < maxMoves && (r.NoBudget || r.budget(c.Service, now).moves.tokens >= 1)
+	return c.moves < maxMoves && (r.NoBudget || r.budget(c.Service, now).movesOf(c).tokens >= 1)
 }
 
+// PlaceAgain forgets the moves of a call that has waited for a slot since. The budget of
+// its service still bounds them.
+func (c *Call) PlaceAgain() { c.moves = 0 }
+
 // Retry decides after a failed attempt whether another one follows, and why. The
 // error should be a *refuser.Refusal; any other one is not retried.
 func (r *Retrier) Retry(c *Call, err error) (bool, RetryReason) {
@@ -187,7 +210,7 @@
 	case moved && c.moves < maxMoves:
 		// MayMove was asked before the attempt; a call is not lost because others
 		// have used the tokens since.
-		b.moves.tokens--
+		b.movesOf(c).tokens--
 		return Moved
 	case c.Retried:
 		return RetriedDeeper
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -109,6 +109,37 @@
 	})
 }
 
+// Guards against uploads of a node that has just started, which queue at full endpoints
+// because the first two moves of the node have used up its budget, and against moves of
+// uploads that go on at that rate.
+func TestFirstLongCallsMayMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := &Retrier{}
+		const calls = 10000
+		moves := 0
+		for i := range calls {
+			c := &Call{
+				Service:  "artwork",
+				Long:     true,
+				Deadline: time.Now().Add(time.Minute),
+				Depth:    1,
+			}
+			r.Begin(c)
+			is.True(i >= 9 || r.MayMove(c)) // nothing is known yet of other nodes' uploads
+			for r.MayMove(c) {
+				_, reason := r.Retry(c, refusal(refuser.Placement))
+				is.Equal(reason, Moved)
+				moves++
+			}
+			time.Sleep(time.Millisecond)
+		}
+		is.True(moves <= 2*calls/10+bucketSize+2) // uploads have no second copies, whose share their moves get
+		c := begun(r, true)
+		is.True(r.MayMove(c)) // the moves of short calls have a budget of their own
+	})
+}
+
 // chain runs a call through services that call each other and counts the executions
 // at the last endpoint. An endpoint's answer is lost with probability p.
 func chain(r []*Retrier, random *rand.Rand, p float64, depth int, retried bool, executions *int) (ok, decided bool) {
