Ask an endpoint of which nothing is known how slow it is

Cause: from its start until its first answer an endpoint counted as fast, since only one that had told its slowness before was probed. Ruled out: age of what is known in general (3% of the requests that began on knowledge of under 20 ms took as long). The decision when to probe stands with the scheduler's; an endpoint whose answer tells no load is asked once.

--- a/internal/conductor/endpoint.go
+++ b/internal/conductor/endpoint.go
@@ -10,7 +10,6 @@
 	"github.com/gentianlever/gentianlever/internal/meter"
 	"github.com/gentianlever/gentianlever/internal/recorder"
 	"github.com/gentianlever/gentianlever/internal/registrar"
-	"github.com/gentianlever/gentianlever/internal/reporter"
 	"github.com/gentianlever/gentianlever/internal/sleeper"
 	"github.com/gentianlever/gentianlever/internal/storer"
 )
@@ -24,13 +23,7 @@
 	restoreLimit = 2 * time.Second
 	// departureRows bounds the rows of one node's departed endpoints.
 	departureRows = 100
-	// slowProbe is the age of the slowness from which a slow endpoint is probed: requests go
-	// elsewhere then, so that no answer would tell the end of its slow time.
-	slowProbe = 50 * time.Millisecond
-	// idleProbe is the age from which one is probed that was not slow. Neighbours change
-	// within half a second.
-	idleProbe = 200 * time.Millisecond
-	// probeTick is the precision of both.
+	// probeTick is the precision of the times between probes.
 	probeTick    = 25 * time.Millisecond
 	probeTimeout = 500 * time.Millisecond
 )
@@ -170,13 +163,7 @@
 func (n *Conductor) watchSlowness(ctx context.Context) error {
 	for sleeper.Sleep(ctx, probeTick) {
 		path := n.healthPath()
-		slowness, age := n.endpoint.LastSlowness()
-		limit := idleProbe
-		if slowness >= 2*reporter.UsualSlowness {
-			limit = slowProbe
-		}
-		// An endpoint that does not tell its slowness has none to ask for.
-		if path == "" || slowness == 0 || age < limit || !n.knownEndpoint().Available() {
+		if path == "" || !n.endpoint.ProbeDue() || !n.knownEndpoint().Available() {
 			continue
 		}
 		probing, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -56,6 +56,9 @@
 	waiting     map[*scheduler.Request]chan error
 	timer       *time.Timer
 	unreachable time.Time
+	// asked is the time of the last probe, and silent is set where its answer told no load.
+	asked  time.Time
+	silent bool
 	// misdirected is the ID of an endpoint whose address belongs to another one now.
 	misdirected string
 }
@@ -264,11 +267,11 @@
 	return nil
 }
 
-// learn takes what the endpoint says of its load.
-func (s *EndpointSide) learn(h http.Header) {
+// learn takes what the endpoint says of its load, and reports whether it says anything.
+func (s *EndpointSide) learn(h http.Header) bool {
 	load, ok := s.Dialect.EndpointLoad(h)
 	if !ok {
-		return
+		return false
 	}
 	s.mu.Lock()
 	before, _ := s.scheduler.Slowness(time.Now())
@@ -277,13 +280,17 @@
 		s.dispatch()
 	}
 	s.mu.Unlock()
+	return true
 }
 
-// Reported forgets what failures said of an earlier endpoint.
+// Reported forgets what failures and answers said of an earlier endpoint.
 func (s *EndpointSide) Reported() {
 	s.mu.Lock()
 	s.misdirected = ""
 	s.unreachable = time.Time{}
+	s.scheduler.SetSlowness(0, time.Time{})
+	s.asked = time.Time{}
+	s.silent = false
 	s.mu.Unlock()
 	s.LoadChanged()
 }
@@ -306,17 +313,25 @@
 	}
 }
 
-// LastSlowness returns what the endpoint said last of the time that work takes, in percent
-// of the usual, and its age.
-func (s *EndpointSide) LastSlowness() (int, time.Duration) {
+// ProbeDue reports whether the endpoint is to be asked how slow it is.
+func (s *EndpointSide) ProbeDue() bool {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, age := s.scheduler.Slowness(time.Now())
-	return s.scheduler.LastSlowness(), age
+	_, age := s.scheduler.Slowness(now)
+	return scheduler.ProbeDue(scheduler.Knowledge{
+		Slowness: s.scheduler.LastSlowness(),
+		Age:      age,
+		Asked:    now.Sub(s.asked),
+		Silent:   s.silent,
+	})
 }
 
 // Probe asks the endpoint's health path, which tells its load without work.
 func (s *EndpointSide) Probe(ctx context.Context, path string) error {
+	s.mu.Lock()
+	s.asked = time.Now()
+	s.mu.Unlock()
 	resp, err := s.Exchanger.Exchange(ctx, &http.Request{
 		Method: http.MethodGet,
 		URL:    &url.URL{Path: path},
@@ -330,7 +345,10 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes)); err != nil {
 		return err
 	}
-	s.learn(resp.Header)
+	told := s.learn(resp.Header)
+	s.mu.Lock()
+	s.silent = !told
+	s.mu.Unlock()
 	s.LoadChanged()
 	return nil
 }
--- a/internal/relayer/endpointside_test.go
+++ b/internal/relayer/endpointside_test.go
@@ -278,3 +278,40 @@
 		}
 	}
 }
+
+// Guards against an endpoint that counts as fast until its first answer: after a start it is
+// probed, and again after another endpoint has started at its address.
+func TestNewEndpointIsProbed(t *testing.T) {
+	is := is.New(t)
+	e := newTestEndpoint(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			w.Header().Set("X-Slowness", "700")
+		}
+	})
+	for range 2 {
+		is.True(e.ProbeDue())
+		is.NoErr(e.Probe(t.Context(), "/health"))
+		is.True(!e.ProbeDue())
+		is.Equal(e.Load().Slowness, 700)
+		_, refused := e.call(t.Context(), &Call{
+			Service:    "proofs",
+			Route:      "view",
+			TargetLeft: micros(100 * time.Millisecond),
+			TimeLeft:   micros(time.Second),
+			Guess:      micros(50 * time.Millisecond),
+		})
+		is.Equal(refused.Reason, refuser.EndpointSlow)
+		e.Reported()
+	}
+}
+
+// Guards against probes without end of an endpoint that does not tell its slowness.
+func TestSilentEndpointIsProbedOnce(t *testing.T) {
+	is := is.New(t)
+	e := newTestEndpoint(t, 1, func(http.ResponseWriter, *http.Request) {})
+	is.True(e.ProbeDue())
+	is.NoErr(e.Probe(t.Context(), "/health"))
+	time.Sleep(150 * time.Millisecond)
+	is.True(!e.ProbeDue())
+	is.Equal(e.arrived.Load(), int64(1))
+}
