Estimate a request's own work and its waiting for calls apart

The first request after a start set the estimate of its kind alone, and one that met a slow spell counted 140 ms of work as 270. The time for which a run waits for its own calls was also scaled by the slowness of the endpoint that makes them, and a bound on the samples of crowding had no effect.

Work that would just end by its deadline is not begun.

--- a/internal/scheduler/crowding.go
+++ b/internal/scheduler/crowding.go
@@ -39,7 +39,10 @@
 		if c.usual == nil || len(c.usual) >= maxKinds {
 			c.usual = make(map[string]time.Duration)
 		}
-		c.usual[kind] = blend(usual, min(took, crowdLimit*max(usual, took/crowdLimit)))
+		if usual == 0 {
+			usual = took
+		}
+		c.usual[kind] = towards(usual, took, workWeight)
 		return
 	}
 	if occupancy > slots || usual <= 0 {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -18,19 +18,18 @@
 	// slownessHold is the time for which a slowness counts as current. Neighbours change
 	// within half a second, so an older figure says little.
 	slownessHold = 500 * time.Millisecond
-	// workWeight is the weight of a new sample in the estimate of a kind's work: the mean
-	// of about the last 20.
-	workWeight = 0.05
 	// queueMargin is the expected work, as a factor, that must fit before the target of a
 	// request that waits: work varies, and one that waited to the last moment is late.
 	queueMargin = 1.5
 	// startMargin is the same for one that is about to start.
 	startMargin = 1.2
+	// deadlineMargin is the same for the time until a deadline. Work that would just end by
+	// it, as on an endpoint seven times as slow, is broken off half of the time and holds its
+	// slot until then.
+	deadlineMargin = 1.4
 	// lateShare is the share of the slots in use from which late work is turned away. Work
 	// that starts while an endpoint is slow holds its slot after the slow time has ended.
 	lateShare = 0.5
-	// maxKinds bounds the estimates of kinds that are no longer used.
-	maxKinds = 10000
 	// slowThreshold is the slowness, in percent of the usual, from which an endpoint
 	// counts as slow. A neighbour's noise makes it several times the usual.
 	slowThreshold = 200
@@ -101,8 +100,7 @@
 
 	running  int
 	waiting  []*Request
-	work     map[string]time.Duration
-	mean     time.Duration
+	work     works
 	crowd    crowding
 	slowness int
 	measured time.Time
@@ -137,31 +135,20 @@
 
 // Work returns the expected work of a request at the usual speed.
 func (s *Scheduler) Work(r *Request) time.Duration {
-	if w, ok := s.work[r.Kind]; ok {
-		return w
-	}
-	return r.Guess
-}
-
-// meanWork returns the expected work of those that hold the slots.
-func (s *Scheduler) meanWork(r *Request) time.Duration {
-	if s.mean > 0 {
-		return s.mean
-	}
-	return s.Work(r)
+	return s.work.of(r.Kind, r.Guess).at(1)
 }
 
 // expect returns the expected wait and work of a request with others ahead of it.
 func (s *Scheduler) expect(r *Request, ahead int, now time.Time) (wait, work time.Duration) {
 	f := s.factor(now)
-	work = scale(s.Work(r), f)
+	work = s.work.of(r.Kind, r.Guess).at(f)
 	free := s.capacity(r) - s.running
 	if ahead < free {
 		return 0, work
 	}
 	// Slots become free at an even rate while all are in use.
 	turns := float64(ahead-free+1) / float64(max(s.capacity(r), 1))
-	return scale(s.meanWork(r), turns*f), work
+	return scale(s.work.mean(r.Guess).at(f), turns), work
 }
 
 func scale(d time.Duration, f float64) time.Duration {
@@ -176,8 +163,12 @@
 	ahead := s.ahead(r)
 	d := Decision{}
 	d.ExpectedWait, d.ExpectedWork = s.expect(r, ahead, now)
-	finish := now.Add(d.ExpectedWait + d.ExpectedWork)
-	beyond := finish.After(s.limit(r))
+	beyondTarget := now.Add(d.ExpectedWait + d.ExpectedWork).After(r.Target)
+	beyondDeadline := now.Add(d.ExpectedWait + scale(d.ExpectedWork, deadlineMargin)).After(r.Deadline)
+	beyond := beyondTarget
+	if r.late {
+		beyond = beyondDeadline
+	}
 	slow := s.factor(now)*reporter.UsualSlowness >= slowThreshold
 	switch {
 	case usual.After(r.Deadline):
@@ -189,7 +180,7 @@
 	case (beyond || r.late) && !r.Nested && s.crowded():
 		// Late work would keep slots from requests that can still meet their target.
 		d.Verdict = Busy
-	case d.ExpectedWait == 0 && len(s.waiting) == 0 && s.running < s.capacity(r) && !finish.After(r.Deadline):
+	case d.ExpectedWait == 0 && len(s.waiting) == 0 && s.running < s.capacity(r) && !beyondDeadline:
 		d.Verdict = Run
 		s.start(r, now)
 	case beyond || now.Add(d.ExpectedWait+scale(d.ExpectedWork, queueMargin)).After(s.limit(r)):
@@ -221,7 +212,7 @@
 // hint is the time in which the queue is expected to be worked off.
 func (s *Scheduler) hint(r *Request, now time.Time) time.Duration {
 	turns := float64(len(s.waiting)+1) / float64(max(s.Capacity(), 1))
-	return scale(s.meanWork(r), turns*s.factor(now))
+	return scale(s.work.mean(r.Guess).at(s.factor(now)), turns)
 }
 
 // ahead counts the waiting requests that are served before a new one.
@@ -276,7 +267,7 @@
 	var expired []*Request
 	kept := s.waiting[:0]
 	for _, r := range s.waiting {
-		if now.Add(scale(s.Work(r), f*startMargin)).After(s.limit(r)) {
+		if now.Add(scale(s.work.of(r.Kind, r.Guess).at(f), startMargin)).After(s.limit(r)) {
 			expired = append(expired, r)
 			continue
 		}
@@ -305,16 +296,15 @@
 		return
 	}
 	// An endpoint works on a request as fast as it was when the request started.
-	sample := scale(now.Sub(r.started), 1/max(r.slowness, 1))
-	if s.work == nil || len(s.work) >= maxKinds {
-		s.work = make(map[string]time.Duration)
-	}
-	if own := scale(now.Sub(r.started)-r.Elsewhere, 1/max(r.slowness, 1)); own > 0 {
-		s.crowd.observe(r.Kind, r.occupancy, s.Slots, own)
+	own := scale(now.Sub(r.started)-r.Elsewhere, 1/max(r.slowness, 1))
+	if own <= 0 {
+		return
 	}
-	sample = scale(sample, 1/s.crowd.ratio(r.occupancy))
-	s.work[r.Kind] = blend(s.work[r.Kind], sample)
-	s.mean = blend(s.mean, sample)
+	s.crowd.observe(r.Kind, r.occupancy, s.Slots, own)
+	s.work.observe(r.Kind, r.Guess, work{
+		own:       scale(own, 1/s.crowd.ratio(r.occupancy)),
+		elsewhere: r.Elsewhere,
+	})
 }
 
 // Capacity returns the number of requests that the endpoint runs at once at its best:
@@ -331,10 +321,3 @@
 	}
 	return s.Capacity()
 }
-
-func blend(old, sample time.Duration) time.Duration {
-	if old == 0 {
-		return sample
-	}
-	return old + time.Duration(workWeight*float64(sample-old))
-}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -143,3 +143,47 @@
 	is.Equal(len(started), 1)
 	is.True(started[0] == second)
 }
+
+// One request that began as the endpoint turned slow, the first after the start of its node,
+// let the endpoint refuse all of its kind while its machine was a little slow, although it was
+// idle: 100 ms of work counted as 270.
+func TestOneSlowSampleDoesNotRefuseAll(t *testing.T) {
+	is := is.New(t)
+	s := Scheduler{Slots: 12}
+	first := request(0)
+	is.Equal(s.Offer(first, at(0)).Verdict, Run)
+	s.Done(first, true, at(270))
+	s.SetSlowness(200, at(270))
+	is.Equal(s.Offer(request(270), at(270)).Verdict, Run)
+}
+
+// The time for which a request waits for its own calls does not grow with the slowness of
+// the endpoint that makes them.
+func TestWaitingForCallsIsNotScaled(t *testing.T) {
+	is := is.New(t)
+	s := Scheduler{Slots: 1}
+	s.SetSlowness(100, at(0))
+	for i := range 200 {
+		r := request(300 * i)
+		is.Equal(s.Offer(r, at(300*i)).Verdict, Run)
+		r.Elsewhere = 200 * time.Millisecond
+		s.Done(r, true, at(300*i+300))
+	}
+	s.SetSlowness(200, at(60000))
+	work := s.Offer(request(60000), at(60000)).ExpectedWork
+	is.True(work > 390*time.Millisecond && work < 410*time.Millisecond) // twice 100 ms, and 200
+}
+
+// A request that an endpoint could just end by its deadline, with nothing to spare, held a
+// slot for a second and failed half of the time.
+func TestWorkWithoutTimeToSpareIsNotBegun(t *testing.T) {
+	is := is.New(t)
+	s := Scheduler{Slots: 4}
+	s.SetSlowness(700, at(0))
+	r := request(0) // 700 ms of work, a deadline after 1 s
+	r.Final = true
+	is.Equal(s.Offer(r, at(0)).Verdict, Run)
+	r = request(-50)
+	r.Final = true
+	is.Equal(s.Offer(r, at(0)).Verdict, Busy)
+}
