Find nodes that fall silent by questions, and leave them

A node that owes an answer and says nothing for 150 ms is now asked for a load message. After three questions without an answer it gets no new requests, and attempts there that may run again are ended and go elsewhere. The belief is logged (node-silent, node-heard).

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -87,6 +87,7 @@
 	callers     relayer.CallerSide
 	endpoint    relayer.EndpointSide
 	loads       relayer.Loads
+	watcher     relayer.Watcher
 	quarantiner quarantiner.Quarantiner
 	membership
 	departures
@@ -204,6 +205,11 @@
 			n.view.Report(node, load, time.Now())
 		},
 	}
+	n.watcher = relayer.Watcher{
+		View:     &n.view,
+		Ask:      n.loads.Ask,
+		Observed: n.contactChanged,
+	}
 	n.callers = relayer.CallerSide{
 		Dialect:   &n.dialect,
 		NodeToken: token,
@@ -225,6 +231,15 @@
 	}
 }
 
+// contactChanged logs that a peer's node has turned silent or is heard again.
+func (n *Conductor) contactChanged(p relayer.Peer, silent bool) {
+	event := recorder.NodeHeard
+	if silent {
+		event = recorder.NodeSilent
+	}
+	n.Log.Info(event, "peer", p.ID, "incarnation", p.Incarnation, "address", p.Address.String())
+}
+
 // distance returns the round trip to an availability zone.
 func (n *Conductor) distance(zone string) time.Duration {
 	switch {
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -103,6 +103,7 @@
 	n.Log.Info(recorder.MembershipStarted)
 	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
 	p.Go(n.loads.Run)
+	p.Go(n.watcher.Run)
 	p.Go(n.udp.Run)
 	p.Go(n.announcer.Run)
 	return p.Wait()
--- a/internal/recorder/events.go
+++ b/internal/recorder/events.go
@@ -17,6 +17,8 @@
 	SettingsNotTaken     Event = "settings-not-taken"
 	MembershipStarted    Event = "membership-started"
 	MembersChanged       Event = "members-changed"
+	NodeSilent           Event = "node-silent"
+	NodeHeard            Event = "node-heard"
 	TableApplied         Event = "table-applied"
 	TableUnavailable     Event = "table-unavailable"
 	TableAvailable       Event = "table-available"
@@ -104,6 +106,16 @@
 		Fields: []string{"count", "members"},
 		Help:   "what is known of the members has changed; each entry has name, start and state",
 	},
+	{
+		Name:   NodeSilent,
+		Fields: []string{"peer", "incarnation", "address"},
+		Help:   "another node leaves requests and questions without an answer; it gets no new requests and those that may run again go elsewhere",
+	},
+	{
+		Name:   NodeHeard,
+		Fields: []string{"peer", "incarnation", "address"},
+		Help:   "a node that was silent is heard again",
+	},
 	{
 		Name:   TableApplied,
 		Fields: []string{"version", "source", "routes"},
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -12,8 +12,12 @@
 	"github.com/gentianlever/gentianlever/internal/placer"
 	"github.com/gentianlever/gentianlever/internal/refuser"
 	"github.com/gentianlever/gentianlever/internal/reporter"
+	"github.com/gentianlever/gentianlever/internal/router"
 )
 
+// errSilent ends an attempt at a node that gives no sign of life.
+var errSilent = errors.New("the node gives no sign of life")
+
 // place chooses the endpoint of the next attempt.
 func (s *CallerSide) place(q *request) (candidate, placer.Estimate, bool) {
 	now := time.Now()
@@ -44,7 +48,17 @@
 	started := time.Now()
 	q.call.TargetLeft = micros(q.target.Sub(started))
 	q.call.TimeLeft = micros(q.deadline.Sub(started))
-	s.View.begin(c.peer.ID)
+	ctx, abandon := context.WithCancelCause(ctx)
+	defer abandon(nil)
+	var f *flight
+	if c.peer.ID != s.Node {
+		f = &flight{
+			began:      started,
+			repeatable: q.route.Kind == router.Idempotent,
+			abandon:    func() { abandon(errSilent) },
+		}
+	}
+	s.View.begin(c.peer.ID, f)
 	answer, err := s.send(ctx, r, q, c)
 	now := time.Now()
 	a := Attempt{
@@ -68,7 +82,7 @@
 		failed = answer.Status >= http.StatusInternalServerError
 		q.event.Endpoint = answer.Endpoint
 	}
-	s.View.end(c.peer.ID, failed, now)
+	s.View.end(c.peer.ID, f, failed, now)
 	s.View.Report(c.peer.ID, load, now)
 	if err == nil && !failed {
 		s.observeWork(q.call.Route, now.Sub(started))
@@ -137,7 +151,9 @@
 
 // nodeFailure names the refusal of an exchange with another node that broke.
 func (s *CallerSide) nodeFailure(ctx context.Context, err error) error {
-	if ended := ended(ctx); ended != nil {
+	if errors.Is(context.Cause(ctx), errSilent) {
+		err = errSilent
+	} else if ended := ended(ctx); ended != nil {
 		return ended
 	}
 	var connect *exchanger.ConnectError
--- a/internal/relayer/loads.go
+++ b/internal/relayer/loads.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,6 +54,7 @@
 
 	once     sync.Once
 	changed  chan struct{}
+	conn     atomic.Pointer[net.UDPConn]
 	mu       sync.Mutex
 	heard    map[netip.Addr]time.Time
 	latest   map[string]uint64
@@ -95,6 +97,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
+	l.conn.Store(conn)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -148,12 +151,45 @@
 		return nil, nil
 	}
 	l.told, l.toldAt = load, now
+	return l.encode(load), to
+}
+
+// encode makes the next message. The caller holds mu.
+func (l *Loads) encode(load reporter.Load) []byte {
 	l.sequence++
 	body := binary.BigEndian.AppendUint64(nil, l.sequence)
 	body = append(body, l.Node...)
 	body = append(body, '\n')
 	body = append(body, load.Encode()...)
-	return append(l.code(body), body...), to
+	return append(l.code(loadPurpose, body), body...)
+}
+
+// Ask asks a node for a load message, as a sign of life. It does not block.
+func (l *Loads) Ask(to netip.Addr) {
+	if conn := l.conn.Load(); conn != nil {
+		// A lost question looks the same as one that could not be sent.
+		_, _ = conn.WriteToUDPAddrPort(l.question(), netip.AddrPortFrom(to, l.Address.Port()))
+	}
+}
+
+// question makes a message that asks for a load message.
+func (l *Loads) question() []byte {
+	return append(l.code(questionPurpose, []byte(l.Node)), l.Node...)
+}
+
+// isQuestion reports whether another node asks for a load message.
+func (l *Loads) isQuestion(message []byte) bool {
+	return len(message) > codeBytes && hmac.Equal(message[:codeBytes], l.code(questionPurpose, message[codeBytes:]))
+}
+
+// answer tells the load to the node that asked for it.
+func (l *Loads) answer(conn *net.UDPConn, to netip.AddrPort) {
+	load := l.Load()
+	l.mu.Lock()
+	message := l.encode(load)
+	l.mu.Unlock()
+	// A lost answer is asked for again.
+	_, _ = conn.WriteToUDPAddrPort(message, to)
 }
 
 // worthTelling reports whether a change of the load matters to those who place requests.
@@ -171,9 +207,15 @@
 	return 100*max(before-after, after-before) >= loadStep*load.Slots
 }
 
-func (l *Loads) code(body []byte) []byte {
+// Purposes keep the code of one kind of message from being valid for the other.
+const (
+	loadPurpose     = "load message"
+	questionPurpose = "load question"
+)
+
+func (l *Loads) code(purpose string, body []byte) []byte {
 	mac := hmac.New(sha256.New, l.Key)
-	_, _ = mac.Write([]byte("load message"))
+	_, _ = mac.Write([]byte(purpose))
 	_, _ = mac.Write(body)
 	return mac.Sum(nil)[:codeBytes]
 }
@@ -182,7 +224,7 @@
 func (l *Loads) receive(conn *net.UDPConn) {
 	buffer := make([]byte, maxLoadBytes)
 	for {
-		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -190,7 +232,9 @@
 			// An ICMP error of an earlier send is reported by the next read.
 			continue
 		}
-		if node, load, ok := l.decode(buffer[:n]); ok {
+		if l.isQuestion(buffer[:n]) {
+			l.answer(conn, from)
+		} else if node, load, ok := l.decode(buffer[:n]); ok {
 			l.Received(node, load)
 		}
 	}
@@ -198,7 +242,7 @@
 
 // decode reads a message. A forged, unreadable or overtaken one is dropped.
 func (l *Loads) decode(message []byte) (string, reporter.Load, bool) {
-	if len(message) < codeBytes+8 || !hmac.Equal(message[:codeBytes], l.code(message[codeBytes:])) {
+	if len(message) < codeBytes+8 || !hmac.Equal(message[:codeBytes], l.code(loadPurpose, message[codeBytes:])) {
 		return "", reporter.Load{}, false
 	}
 	body := message[codeBytes:]
--- a/internal/relayer/view.go
+++ b/internal/relayer/view.go
@@ -34,11 +34,24 @@
 	load     reporter.Load
 	reported time.Time
 	// sent counts the node's own requests that the report does not show.
-	sent     int
+	sent    int
+	contact contact
+	flights map[*flight]bool
+	// silent is the belief last told.
+	silent   bool
 	failures int
 	failed   time.Time
 }
 
+// flight is an attempt at a peer that has not ended.
+type flight struct {
+	began time.Time
+	// repeatable is set where the request may run more than once.
+	repeatable bool
+	// abandon ends the attempt, so that another can be made.
+	abandon func()
+}
+
 // SetPeers replaces the peers. What is known of those that stay is kept.
 func (v *View) SetPeers(peers []Peer) {
 	v.mu.Lock()
@@ -48,7 +61,7 @@
 	for _, p := range peers {
 		k := v.byID[p.ID]
 		if k == nil || k.peer.Incarnation != p.Incarnation {
-			k = &known{}
+			k = &known{flights: make(map[*flight]bool)}
 		}
 		k.peer = p
 		byID[p.ID] = k
@@ -68,25 +81,30 @@
 	k.load = load
 	k.reported = now
 	k.sent = 0
+	k.contact.hear(now)
 }
 
-// begin counts a request that is sent to a peer.
-func (v *View) begin(id string) {
+// begin counts a request that is sent to a peer. f is nil where that is the node itself.
+func (v *View) begin(id string, f *flight) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if k := v.byID[id]; k != nil {
 		k.sent++
+		if f != nil {
+			k.flights[f] = true
+		}
 	}
 }
 
 // end counts the outcome of a request that was sent to a peer.
-func (v *View) end(id string, failed bool, now time.Time) {
+func (v *View) end(id string, f *flight, failed bool, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	k := v.byID[id]
 	if k == nil {
 		return
 	}
+	delete(k.flights, f)
 	k.sent = max(k.sent-1, 0)
 	if failed {
 		k.failures++
@@ -104,11 +122,13 @@
 
 // candidates returns the endpoints of a service that take requests, but for those
 // excluded. Where none does, it returns those that are known to drain: the node beside an
-// endpoint decides, and what is known of it may be out of date.
+// endpoint decides, and what is known of it may be out of date. Silent ones are returned only
+// where the service has no other: a request that others have refused gets a true refusal at
+// once, while at a silent node it would wait and end unknown.
 func (v *View) candidates(service string, excluded map[string]bool, now time.Time) []candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var found, draining []candidate
+	var found, draining, silent []candidate
 	for _, k := range v.services[service] {
 		if excluded[k.peer.ID] {
 			continue
@@ -118,7 +138,10 @@
 			age = -1
 		}
 		into := &found
-		if k.peer.Draining || k.load.Draining && age >= 0 && age < drainingMemory {
+		switch {
+		case k.contact.silent():
+			into = &silent
+		case k.peer.Draining || k.load.Draining && age >= 0 && age < drainingMemory:
 			into = &draining
 		}
 		*into = append(*into, candidate{
@@ -133,10 +156,15 @@
 			peer: k.peer,
 		})
 	}
-	if len(found) == 0 {
+	switch {
+	case len(found) > 0:
+		return found
+	case len(draining) > 0:
 		return draining
+	case len(excluded) == 0:
+		return silent
 	}
-	return found
+	return nil
 }
 
 // drainingMemory is the time for which an endpoint that refused as draining is left out
--- a/internal/relayer/view_test.go
+++ b/internal/relayer/view_test.go
@@ -74,11 +74,11 @@
 	now := time.Now()
 	v := viewOf(peer("a", 1, false))
 	for range 3 {
-		v.begin("a")
-		v.end("a", true, now)
+		v.begin("a", nil)
+		v.end("a", nil, true, now)
 	}
 	is.Equal(v.candidates("proofs", nil, now)[0].Failures, 3)
-	v.begin("a")
-	v.end("a", false, now)
+	v.begin("a", nil)
+	v.end("a", nil, false, now)
 	is.Equal(v.candidates("proofs", nil, now)[0].Failures, 0)
 }
