Find other nodes through a store that fails part of its calls

Cause: a node that starts while the store fails or does not answer part of the calls found the others only after up to two minutes. Its first write of its row, if that failed, was repeated after up to 155 s, since nothing woke the loop that writes it; and one failed page ended a whole attempt to read, after a call without an answer had taken 5 s of it.

The write is now repeated with each attempt to find others, a page is read up to three times, and a call of a node that is alone ends after 1.5 s.

Ruled out: shorter pauses between attempts; 1,500 nodes that start while the store is away would ask more often than it takes calls.

The bound of the test is the 15 s of the platform's RECOVER rule.

--- a/internal/announcer/network_test.go
+++ b/internal/announcer/network_test.go
@@ -28,6 +28,10 @@
 	adjust func(a *Announcer)
 	// tableDown fails every operation of the table.
 	tableDown bool
+	// failing is the share of the table's operations that fail, and hanging that of those
+	// that have no answer.
+	failing float64
+	hanging float64
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -171,9 +175,21 @@
 	w.cut = cut
 }
 
+// hang waits for the end of ctx where the operation has no answer.
+func (w *network) hang(ctx context.Context) error {
+	w.mu.Lock()
+	hangs := w.random.Float64() < w.hanging
+	w.mu.Unlock()
+	if !hangs {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 func (w *network) operation() error {
 	w.perSecond[time.Now().Unix()]++
-	if w.tableDown {
+	if w.tableDown || w.random.Float64() < w.failing {
 		return &storer.UnavailableError{
 			Operation: "any",
 			Cause:     errUnreachable,
@@ -182,7 +198,10 @@
 	return nil
 }
 
-func (w *network) write(_ context.Context, writes []storer.Write) error {
+func (w *network) write(ctx context.Context, writes []storer.Write) error {
+	if err := w.hang(ctx); err != nil {
+		return err
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.operation(); err != nil {
@@ -202,7 +221,10 @@
 	return nil
 }
 
-func (w *network) query(_ context.Context, _, after string, limit int) ([]storer.Row, error) {
+func (w *network) query(ctx context.Context, _, after string, limit int) ([]storer.Row, error) {
+	if err := w.hang(ctx); err != nil {
+		return nil, err
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.operation(); err != nil {
--- a/internal/announcer/rows.go
+++ b/internal/announcer/rows.go
@@ -28,6 +28,12 @@
 	firstSync  = 2 * time.Second
 	// contacts members of the rows are pinged, so that few readers reach all nodes.
 	contacts = 32
+	// queryAttempts bounds the reads of a page by a node that is alone. Where two of five
+	// calls fail, one attempt of two pages found nothing two times of three.
+	queryAttempts = 3
+	// callTimeout bounds a read or write of a node that is alone. It is over a hundred times
+	// the usual time of a call, and leaves room for queryAttempts within tableTimeout.
+	callTimeout = 1500 * time.Millisecond
 	// joinCheck is the time between looks for a member that answered.
 	joinCheck = 100 * time.Millisecond
 	// joinRetry and the jitter of the same length separate attempts to find others.
@@ -144,18 +150,40 @@
 		wait := rowInterval/2 + a.jitter(rowInterval)
 		if a.writeRow(ctx) != nil {
 			wait = joinRetry + a.jitter(rowInterval/2)
+		} else {
+			a.drainWriteNow()
 		}
 		if count%readEvery == 0 {
 			a.joinRows(ctx, a.readRows)
 		}
-		if !sleeper.Sleep(ctx, wait) {
+		next := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-next.C:
+		case <-a.writeNow:
+			// The node is still alone and its row is not there: the write had failed.
+		}
+		next.Stop()
+		if ctx.Err() != nil {
 			return
 		}
 	}
 }
 
+// drainWriteNow drops a request to write the row that was made before it was written.
+func (a *Announcer) drainWriteNow() {
+	select {
+	case <-a.writeNow:
+	default:
+	}
+}
+
 func (a *Announcer) writeRow(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	timeout := tableTimeout
+	if !a.joined() {
+		timeout = callTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	own := a.Own()
 	body, err := json.Marshal(own)
@@ -221,7 +249,7 @@
 	defer cancel()
 	var r reading
 	for _, after := range []string{a.Self.ID, ""} {
-		rows, err := a.Table.Query(ctx, partition, after, joinPage)
+		rows, err := a.queryAgain(ctx, after)
 		if err != nil {
 			return r.members, r.own, err
 		}
@@ -233,6 +261,18 @@
 	return r.members, r.own, nil
 }
 
+// queryAgain reads a page of rows, again at once where that fails.
+func (a *Announcer) queryAgain(ctx context.Context, after string) ([]storer.Row, error) {
+	for attempt := 1; ; attempt++ {
+		once, cancel := context.WithTimeout(ctx, callTimeout)
+		rows, err := a.Table.Query(once, partition, after, joinPage)
+		cancel()
+		if err == nil || attempt == queryAttempts || !sleeper.Sleep(ctx, joinCheck) {
+			return rows, err
+		}
+	}
+}
+
 // readRows returns the members of all rows but this node's and whether this node
 // has one, and deletes a few rows of members long gone.
 func (a *Announcer) readRows(ctx context.Context) ([]Member, bool, error) {
--- a/internal/announcer/start_test.go
+++ b/internal/announcer/start_test.go
@@ -65,6 +65,53 @@
 	}
 }
 
+// Guards against nodes that try again only after minutes where their first calls to the table
+// failed or had no answer. The bound is the time in which a node has to recover on the users'
+// platform.
+func TestFewNodesStartThroughFailingOperations(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		nodes   int
+		failing float64
+		hanging float64
+	}{
+		{
+			name:    "2 nodes, failing",
+			nodes:   2,
+			failing: 0.4,
+		},
+		{
+			name:    "3 nodes, failing",
+			nodes:   3,
+			failing: 0.4,
+		},
+		{
+			name:    "3 nodes, no answer",
+			nodes:   3,
+			hanging: 0.4,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			worst := time.Duration(0)
+			for seed := range uint64(50) {
+				w := &network{
+					seed:    seed,
+					failing: test.failing,
+					hanging: test.hanging,
+				}
+				run(t, w, test.nodes, func() {
+					joined, ok := within(10*time.Minute, w.allJoined)
+					is.True(ok)
+					worst = max(worst, joined)
+				})
+			}
+			t.Logf("each knows another one after at most %s in 50 starts", worst)
+			is.True(worst <= 15*time.Second)
+		})
+	}
+}
+
 // allJoined reports whether every node knows another one.
 func (w *network) allJoined() bool {
 	for _, x := range w.nodes {
