Try the platform's path with real processes in the smoke test

Cause: `make smoke` started nodes on the product's own interface only, so that the `sidecar` command, its settings and its stop were tried as processes on the users' bench alone.

`platform/smoke` starts three of them with the stand-ins of the platform. Both smoke tests waited for ever where a request failed before the node was to stop; they end now.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 smoke:
 	go run ./test/smoke
+	go run ./platform/smoke
 
 # Formatter and linter; fails where gofumpt would change a file.
 check:
--- a/test/launcher/process.go
+++ b/test/launcher/process.go
@@ -38,9 +38,9 @@
 // Unwrap returns the cause.
 func (e *ExitError) Unwrap() error { return e.Cause }
 
-// start runs a program whose output goes to a file in dir. environment is added to
+// StartProcess runs a program whose output goes to a file in dir. environment is added to
 // that of the launcher.
-func start(dir, name, program string, environment []string, args ...string) (*Process, error) {
+func StartProcess(dir, name, program string, environment []string, args ...string) (*Process, error) {
 	p := &Process{
 		Name:    name,
 		LogFile: filepath.Join(dir, name+".log"),
--- a/test/launcher/set.go
+++ b/test/launcher/set.go
@@ -116,7 +116,7 @@
 		}
 		*address = free
 	}
-	p, err := start(s.Dir, "platform", s.program("platform"), nil, "--listen", s.Platform.String(), "--control", s.Control.String())
+	p, err := StartProcess(s.Dir, "platform", s.program("platform"), nil, "--listen", s.Platform.String(), "--control", s.Control.String())
 	if err != nil {
 		return err
 	}
@@ -240,14 +240,14 @@
 // StartEndpoint starts the endpoint of a node.
 func (s *Set) StartEndpoint(n *Node) error {
 	args := append([]string{"--listen", n.Endpoint.String(), "--name", n.Name}, s.EndpointArguments...)
-	p, err := start(s.Dir, n.Name+"-endpoint", s.program("endpoint"), nil, args...)
+	p, err := StartProcess(s.Dir, n.Name+"-endpoint", s.program("endpoint"), nil, args...)
 	n.EndpointProcess = p
 	return err
 }
 
 // StartNode starts a node, again after it has ended, and waits until it answers.
 func (s *Set) StartNode(n *Node) error {
-	p, err := start(s.Dir, n.Name, s.program("gentianlever"), s.NodeEnvironment, "node", "--settings", n.settings)
+	p, err := StartProcess(s.Dir, n.Name, s.program("gentianlever"), s.NodeEnvironment, "node", "--settings", n.settings)
 	if err != nil {
 		return err
 	}
--- a/test/smoke/main.go
+++ b/test/smoke/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -61,9 +62,9 @@
 func load(s *launcher.Set) error {
 	var answered atomic.Int64
 	half := make(chan struct{})
-	p := pool.New().WithErrors()
+	p := pool.New().WithContext(context.Background()).WithCancelOnError().WithFirstError()
 	for caller := range callers {
-		p.Go(func() error {
+		p.Go(func(context.Context) error {
 			for i := range requestsPerCaller {
 				path := fmt.Sprintf("/proofs/%d-%d", caller, i)
 				if err := request(s.Nodes[caller%2], path); err != nil {
@@ -76,8 +77,12 @@
 			return nil
 		})
 	}
-	p.Go(func() error {
-		<-half
+	p.Go(func(ctx context.Context) error {
+		select {
+		case <-half:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 		return s.Nodes[2].Process.Stop(launcher.StopTimeout)
 	})
 	if err := p.Wait(); err != nil {
