--- a/test/smoke/main.go
+++ b/test/smoke/main.go
@@ -4,25 +4,14 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
-	"sync/atomic"
-
-	"github.com/sourcegraph/conc/pool"
 
 	"github.com/gentianlever/gentianlever/test/launcher"
 )
 
-const (
-	callers           = 4
-	requestsPerCaller = 50
-	// stopAfter is the number of answers after which one node is stopped.
-	stopAfter = 50
-)
-
 func main() {
 	if err := smoke(); err != nil {
 		fmt.Fprintln(os.Stderr, "smoke: failed:", err)
@@ -60,35 +49,15 @@
 
 // load sends the requests through the first two nodes and stops the third meanwhile.
 func load(s *launcher.Set) error {
-	var answered atomic.Int64
-	half := make(chan struct{})
-	p := pool.New().WithContext(context.Background()).WithCancelOnError().WithFirstError()
-	for caller := range callers {
-		p.Go(func(context.Context) error {
-			for i := range requestsPerCaller {
-				path := fmt.Sprintf("/proofs/%d-%d", caller, i)
-				if err := request(s.Nodes[caller%2], path); err != nil {
-					return err
-				}
-				if answered.Add(1) == stopAfter {
-					close(half)
-				}
-			}
-			return nil
-		})
-	}
-	p.Go(func(ctx context.Context) error {
-		select {
-		case <-half:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	answered, err := launcher.Load(func(caller, i int) error {
+		return request(s.Nodes[caller%2], fmt.Sprintf("/proofs/%d-%d", caller, i))
+	}, func() error {
 		return s.Nodes[2].Process.Stop(launcher.StopTimeout)
 	})
-	if err := p.Wait(); err != nil {
+	if err != nil {
 		return err
 	}
-	fmt.Printf("smoke: %d requests answered, one node stopped meanwhile\n", answered.Load())
+	fmt.Printf("smoke: %d requests answered, one node stopped meanwhile\n", answered)
 	return nil
 }
 
