Log when each attempt began, why none followed, and how long a silent node was silent

caller-request now has the start of each attempt and no-retry, the reason why no attempt followed the last one; node-silent has the time since the last message of the peer and of any peer, and the number of attempts in flight there.

No decision changes. make check, the tests of relayer, conductor, recorder and documenter and the integration tests pass.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -238,12 +238,14 @@
 }
 
 // peerResponsivenessChanged logs that a peer became unresponsive or responds again.
-func (n *Conductor) peerResponsivenessChanged(p relayer.Peer, unresponsive bool) {
-	event := recorder.NodeHeard
-	if unresponsive {
-		event = recorder.NodeSilent
+func (n *Conductor) peerResponsivenessChanged(c relayer.LivenessChange) {
+	p := c.Peer
+	if !c.Unresponsive {
+		n.Log.Info(recorder.NodeHeard, "peer", p.ID, "incarnation", p.Incarnation, "address", p.Address.String())
+		return
 	}
-	n.Log.Info(event, "peer", p.ID, "incarnation", p.Incarnation, "address", p.Address.String())
+	n.Log.Info(recorder.NodeSilent, "peer", p.ID, "incarnation", p.Incarnation, "address", p.Address.String(),
+		"last-heard", c.LastHeard.String(), "last-heard-any", c.LastHeardAny.String(), "outstanding", c.Outstanding)
 }
 
 // distance returns the expected round-trip time to an availability zone.
--- a/internal/conductor/observe.go
+++ b/internal/conductor/observe.go
@@ -133,17 +133,21 @@
 		n.Log.LogAttrs(context.Background(), level, recorder.EndpointRequest, attrs...)
 		return
 	}
+	if e.NoRetry != "" {
+		attrs = append(attrs, slog.String("no-retry", string(e.NoRetry)))
+	}
 	attrs = append(attrs, slog.Any("attempts", formatAttempts(e.Attempts)))
 	n.Log.LogAttrs(context.Background(), level, recorder.CallerRequest, attrs...)
 }
 
-// formatAttempts formats attempts for the log: the node, the placer's estimate and the load
-// report with its age when the node was chosen, the time taken, and the outcome.
+// formatAttempts formats attempts for the log: the node, the time since the request arrived, the
+// placer's estimate and the load report with its age when the node was chosen, the time taken, and
+// the outcome.
 func formatAttempts(attempts []relayer.Attempt) []string {
 	lines := make([]string, 0, len(attempts))
 	for _, a := range attempts {
-		lines = append(lines, fmt.Sprintf("%s expected=%s age=%s load=%d+%d/%d slowness=%d took=%s %s",
-			a.Node, a.Expected, a.Age, a.Load.InFlight, a.Load.QueuedShort, a.Load.Slots, a.Load.Slowness, a.Took, a.Outcome))
+		lines = append(lines, fmt.Sprintf("%s started=%s expected=%s age=%s load=%d+%d/%d slowness=%d took=%s %s",
+			a.Node, a.Started, a.Expected, a.Age, a.Load.InFlight, a.Load.QueuedShort, a.Load.Slots, a.Load.Slowness, a.Took, a.Outcome))
 	}
 	return lines
 }
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -64,6 +64,7 @@
 	now := time.Now()
 	a := Attempt{
 		Node:     c.peer.ID,
+		Started:  started.Sub(q.arrival),
 		Expected: estimate.Total,
 		Age:      c.Age,
 		Load:     c.Load,
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -333,6 +333,7 @@
 		c, estimate, ok := s.chooseEndpoint(q)
 		if !ok {
 			if q.lastRefusal != nil {
+				q.event.NoRetry = RetryNoEndpoint
 				return nil, q.lastRefusal
 			}
 			return nil, &refuser.Refusal{
@@ -369,7 +370,11 @@
 		q.retryDelay = refused.RetryDelay
 	}
 	switch {
-	case ctx.Err() != nil || row.Retry == refuser.RetryNever:
+	case ctx.Err() != nil:
+		q.event.NoRetry = RetryDeadline
+		return refused
+	case row.Retry == refuser.RetryNever:
+		q.event.NoRetry = RetryFinal
 		return refused
 	case refused.Arrived || row.Ran != refuser.NotRun:
 		if !s.mayRetry(ctx, q, row.Ran != refuser.NotRun) {
@@ -380,22 +385,26 @@
 	}
 	q.reroutes++
 	if q.reroutes > maxReroutes {
+		q.event.NoRetry = RetryReroutesUsed
 		return refused
 	}
 	return nil
 }
 
 // mayRetry reports whether a request that may have reached an endpoint may be sent to another one,
-// and takes a retry from the budget if so.
+// and takes a retry from the budget if so. Otherwise it sets q.event.NoRetry.
 func (s *CallerSide) mayRetry(ctx context.Context, q *request, mayHaveRun bool) bool {
-	if mayHaveRun && q.route.Kind != router.Idempotent {
-		return false
-	}
-	if ctx.Err() != nil || q.call.Attempt >= q.route.MaxAttempts {
-		return false
-	}
-	if time.Now().Add(fromMicros(q.call.DefaultServiceTime)).After(q.deadline) {
-		return false
-	}
-	return s.Budget.TryRetry(q.call.Service, q.call.Nested, time.Now())
+	switch {
+	case mayHaveRun && q.route.Kind != router.Idempotent:
+		q.event.NoRetry = RetryNotRepeatable
+	case ctx.Err() != nil || time.Now().Add(fromMicros(q.call.DefaultServiceTime)).After(q.deadline):
+		q.event.NoRetry = RetryDeadline
+	case q.call.Attempt >= q.route.MaxAttempts:
+		q.event.NoRetry = RetryAttemptsUsed
+	case !s.Budget.TryRetry(q.call.Service, q.call.Nested, time.Now()):
+		q.event.NoRetry = RetryBudgetUsed
+	default:
+		return true
+	}
+	return false
 }
--- a/internal/relayer/event.go
+++ b/internal/relayer/event.go
@@ -53,11 +53,37 @@
 
 	// Attempts are the attempts of the caller side, in order.
 	Attempts []Attempt
+	// NoRetry is, on the caller side, the reason why no attempt followed the last one. It is
+	// empty if the request was served, or refused without an attempt.
+	NoRetry NoRetry
 }
 
+// NoRetry is a reason why the caller side makes no further attempt.
+type NoRetry string
+
+// Reasons of NoRetry.
+const (
+	// RetryNotRepeatable means that the request may have run and may not run twice.
+	RetryNotRepeatable NoRetry = "not-repeatable"
+	// RetryFinal means that the refusal applies to all endpoints.
+	RetryFinal NoRetry = "final"
+	// RetryAttemptsUsed means that the route allows no further attempt.
+	RetryAttemptsUsed NoRetry = "attempts-used"
+	// RetryReroutesUsed means that maxReroutes nodes have refused the request.
+	RetryReroutesUsed NoRetry = "reroutes-used"
+	// RetryDeadline means that too little time is left, or none.
+	RetryDeadline NoRetry = "deadline"
+	// RetryBudgetUsed means that the retry budget of the service is exhausted.
+	RetryBudgetUsed NoRetry = "budget-used"
+	// RetryNoEndpoint means that no other endpoint of the service is known.
+	RetryNoEndpoint NoRetry = "no-endpoint"
+)
+
 // Attempt is one attempt of the caller side at the node of an endpoint.
 type Attempt struct {
 	Node string
+	// Started is the time from the arrival of the request to the start of the attempt.
+	Started time.Duration
 	// Expected is the placer's estimate when the endpoint was chosen, and Age the age of Load
 	// then; it is negative if there is no load report.
 	Expected time.Duration
--- a/internal/relayer/liveness_monitor.go
+++ b/internal/relayer/liveness_monitor.go
@@ -17,7 +17,20 @@
 	// Probe sends a liveness probe to the node of a peer. It does not block.
 	Probe func(to netip.Addr)
 	// OnChange is called for each peer that becomes unresponsive or responds again.
-	OnChange func(p Peer, unresponsive bool)
+	OnChange func(c LivenessChange)
+}
+
+// LivenessChange reports that a peer became unresponsive or responds again.
+type LivenessChange struct {
+	Peer         Peer
+	Unresponsive bool
+	// LastHeard is the time since the last message of the peer, and LastHeardAny the time since
+	// the last message of any peer. They are negative if there was none. If both are long, the
+	// fault is probably on the link of this node.
+	LastHeard    time.Duration
+	LastHeardAny time.Duration
+	// Outstanding is the number of attempts in flight at the peer.
+	Outstanding int
 }
 
 // Run checks the peers until ctx ends.
@@ -43,11 +56,8 @@
 	for _, f := range changes.abandoned {
 		f.abandon()
 	}
-	for _, p := range changes.unresponsive {
-		m.OnChange(p, true)
-	}
-	for _, p := range changes.recovered {
-		m.OnChange(p, false)
+	for _, c := range changes.peers {
+		m.OnChange(c)
 	}
 }
 
@@ -55,9 +65,8 @@
 type livenessChanges struct {
 	probe     []netip.Addr
 	abandoned []*inFlightAttempt
-	// unresponsive and recovered are the peers whose state has changed.
-	unresponsive []Peer
-	recovered    []Peer
+	// peers are the peers whose state has changed.
+	peers []LivenessChange
 }
 
 // checkLiveness determines which peers to probe and which attempts to cancel. An attempt is
@@ -75,11 +84,13 @@
 		unresponsive := state.liveness.unresponsive()
 		if unresponsive != state.reportedUnresponsive {
 			state.reportedUnresponsive = unresponsive
-			if unresponsive {
-				changes.unresponsive = append(changes.unresponsive, state.peer)
-			} else {
-				changes.recovered = append(changes.recovered, state.peer)
-			}
+			changes.peers = append(changes.peers, LivenessChange{
+				Peer:         state.peer,
+				Unresponsive: unresponsive,
+				LastHeard:    since(state.liveness.lastReceived, now),
+				LastHeardAny: since(v.lastReceived(), now),
+				Outstanding:  len(state.inFlight),
+			})
 		}
 		if !unresponsive {
 			continue
@@ -94,6 +105,26 @@
 	return changes
 }
 
+// lastReceived returns the time of the last message of any peer, or zero if there was none. The
+// caller holds v.mu.
+func (v *View) lastReceived() time.Time {
+	var last time.Time
+	for _, state := range v.byID {
+		if state.liveness.lastReceived.After(last) {
+			last = state.liveness.lastReceived
+		}
+	}
+	return last
+}
+
+// since returns the time from t to now, or a negative duration if t is zero.
+func since(t, now time.Time) time.Duration {
+	if t.IsZero() {
+		return -1
+	}
+	return now.Sub(t)
+}
+
 // oldestAttempt returns the start of the oldest attempt in flight, or zero if there is none.
 func (state *peerState) oldestAttempt() time.Time {
 	var oldest time.Time
--- a/internal/relayer/liveness_monitor_test.go
+++ b/internal/relayer/liveness_monitor_test.go
@@ -59,7 +59,7 @@
 			w := &LivenessMonitor{
 				View:     c.View,
 				Probe:    func(netip.Addr) {},
-				OnChange: func(_ Peer, unresponsive bool) { changes = append(changes, unresponsive) },
+				OnChange: func(c LivenessChange) { changes = append(changes, c.Unresponsive) },
 			}
 			ctx, cancel := context.WithCancel(context.Background())
 			done := make(chan struct{})
