Hedge a request whose node is silent instead of giving it up

Cause: LivenessMonitor cancelled each idempotent attempt at a node that left four probes unanswered, and only then was it asked whether another attempt may follow. With no attempt, budget, time or endpoint left, or if the others refused, the cancelled attempt was the only one that could have been served. Probes are single datagrams: they are lost on a full link, while the request and its response, on a connection, only take longer.

Change: the monitor notifies the attempt and cancels nothing. If the request may run again and an attempt, time, budget and another endpoint are left, a hedge is made beside the attempt. The first one that is served wins, and only then is the other cancelled. A refusal or server error of one attempt doesn't end the request while the other is in progress. So silence can add an attempt, but no longer replace a response by a failure.

An attempt that is cancelled now neither clears nor adds to the failures of its endpoint, unless its node was silent at that moment.

--- a/internal/conductor/observe.go
+++ b/internal/conductor/observe.go
@@ -146,8 +146,12 @@
 func formatAttempts(attempts []relayer.Attempt) []string {
 	lines := make([]string, 0, len(attempts))
 	for _, a := range attempts {
-		lines = append(lines, fmt.Sprintf("%s started=%s expected=%s age=%s load=%d+%d/%d slowness=%d took=%s %s",
-			a.Node, a.Started, a.Expected, a.Age, a.Load.InFlight, a.Load.QueuedShort, a.Load.Slots, a.Load.Slowness, a.Took, a.Outcome))
+		line := fmt.Sprintf("%s started=%s expected=%s age=%s load=%d+%d/%d slowness=%d took=%s %s",
+			a.Node, a.Started, a.Expected, a.Age, a.Load.InFlight, a.Load.QueuedShort, a.Load.Slots, a.Load.Slowness, a.Took, a.Outcome)
+		if a.Unresponsive {
+			line += " unresponsive"
+		}
+		lines = append(lines, line)
 	}
 	return lines
 }
--- a/internal/recorder/events.go
+++ b/internal/recorder/events.go
@@ -109,7 +109,7 @@
 	{
 		Name:   NodeSilent,
 		Fields: []string{"peer", "incarnation", "address", "last-heard", "last-heard-any", "outstanding"},
-		Help:   "another node does not respond to requests or liveness probes; it gets no new requests, and those in flight that may run again are retried at other nodes; last-heard is the time since its last message (negative if there was none), last-heard-any the time since the last message of any other node, which is long if the fault is on this side, and outstanding the number of attempts in flight there",
+		Help:   "another node does not respond to requests or liveness probes; it gets no new requests, and those in flight that may run again are hedged at other nodes; last-heard is the time since its last message (negative if there was none), last-heard-any the time since the last message of any other node, which is long if the fault is on this side, and outstanding the number of attempts in flight there",
 	},
 	{
 		Name:   NodeHeard,
@@ -189,7 +189,7 @@
 	{
 		Name:   CallerRequest,
 		Fields: []string{"id", "route", "service", "table", "attempt", "nested", "ran", "detail", "outcome", "status", "endpoint", "served", "no-retry", "attempts"},
-		Help:   "outcome of a request at its first node; no-retry says why no attempt followed the last one; attempts lists for each attempt the node, the time since the arrival of the request, the expected time, the load data used to select the node with their age, the time taken and the outcome",
+		Help:   "outcome of a request at its first node; no-retry says why no attempt followed the last one; attempts lists for each attempt the node, the time since the arrival of the request, the expected time, the load data used to select the node with their age, the time taken, the outcome, and \"unresponsive\" if the node left probes unanswered meanwhile",
 	},
 	{
 		Name:   EndpointRequest,
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -15,9 +15,6 @@
 	"github.com/gentianlever/gentianlever/internal/router"
 )
 
-// errUnresponsive is the cancellation cause of attempts at an unresponsive node.
-var errUnresponsive = errors.New("the node is unresponsive")
-
 // chooseEndpoint selects the endpoint for the next attempt and sets q.call.NoAlternative. It
 // returns false if there is none.
 func (s *CallerSide) chooseEndpoint(q *request) (candidate, placer.Estimate, bool) {
@@ -44,53 +41,66 @@
 	return candidates[i], estimate, true
 }
 
-// attempt sends a request to the node of one endpoint. Errors are *RefusedError.
-func (s *CallerSide) attempt(ctx context.Context, r *http.Request, q *request, c candidate, estimate placer.Estimate) (*Response, error) {
+// attempt sends a request to the node of one endpoint. unresponsive receives the node's ID if it
+// becomes unresponsive meanwhile and the request may be hedged.
+func (s *CallerSide) attempt(ctx context.Context, r *http.Request, q *request, call Call, c candidate, estimate placer.Estimate, unresponsive chan<- string) result {
 	started := time.Now()
-	q.call.TargetLeft = micros(q.target.Sub(started))
-	q.call.TimeLeft = micros(q.deadline.Sub(started))
-	ctx, abandon := context.WithCancelCause(ctx)
-	defer abandon(nil)
+	call.TargetLeft = micros(q.target.Sub(started))
+	call.TimeLeft = micros(q.deadline.Sub(started))
 	var f *inFlightAttempt
 	if c.peer.ID != s.Node {
-		f = &inFlightAttempt{
-			started:   started,
-			retryable: q.route.Kind == router.Idempotent,
-			abandon:   func() { abandon(errUnresponsive) },
+		f = &inFlightAttempt{started: started}
+		if q.route.Kind == router.Idempotent {
+			f.onUnresponsive = func() { unresponsive <- c.peer.ID }
 		}
 	}
 	s.View.beginAttempt(c.peer.ID, f)
-	response, err := s.send(ctx, r, q, c)
+	response, err := s.send(ctx, r, q.content, &call, c)
 	now := time.Now()
-	a := Attempt{
-		Node:     c.peer.ID,
-		Started:  started.Sub(q.arrival),
-		Expected: estimate.Total,
-		Age:      c.Age,
-		Load:     c.Load,
-		Took:     now.Sub(started),
-		Outcome:  "answered",
-	}
-	load := reporter.Load{}
-	failed := false
+	res := result{
+		node:     c.peer.ID,
+		response: response,
+		log: Attempt{
+			Node:     c.peer.ID,
+			Started:  started.Sub(q.arrival),
+			Expected: estimate.Total,
+			Age:      c.Age,
+			Load:     c.Load,
+			Took:     now.Sub(started),
+			Outcome:  OutcomeAnswered,
+		},
+	}
+	var load reporter.Load
+	end := attemptSucceeded
 	if err != nil {
-		refused := asRefused(err)
-		err = refused
-		a.Outcome = string(refused.Reason)
-		load = refused.Load
-		failed = countsAsFailure(refused)
+		res.refused = asRefused(err)
+		res.log.Outcome = string(res.refused.Reason)
+		load = res.refused.Load
+		end = endOf(res.refused)
 	} else {
 		load = response.Load
-		failed = response.Status >= http.StatusInternalServerError
-		q.event.Endpoint = response.Endpoint
+		if response.Status >= http.StatusInternalServerError {
+			end = attemptFailed
+		}
 	}
-	s.View.endAttempt(c.peer.ID, f, failed, now)
+	res.log.Unresponsive = s.View.endAttempt(c.peer.ID, f, end, now)
 	s.View.Report(c.peer.ID, load, now)
-	if err == nil && !failed {
-		s.observeServiceTime(q.call.Route, now.Sub(started))
+	if err == nil && end == attemptSucceeded {
+		s.observeServiceTime(call.Route, now.Sub(started))
+	}
+	return res
+}
+
+// endOf returns how an attempt ended that was refused. An attempt that was cancelled says nothing
+// about the endpoint.
+func endOf(refused *RefusedError) attemptEnd {
+	switch {
+	case countsAsFailure(refused):
+		return attemptFailed
+	case refused.Reason == refuser.Cancelled:
+		return attemptCancelled
 	}
-	q.event.Attempts = append(q.event.Attempts, a)
-	return response, err
+	return attemptSucceeded
 }
 
 // countsAsFailure reports whether a refusal counts as a failure of the endpoint or its node.
@@ -124,14 +134,14 @@
 }
 
 // send passes a request to the node of an endpoint, or runs it at the local endpoint.
-func (s *CallerSide) send(ctx context.Context, r *http.Request, q *request, c candidate) (*Response, error) {
+func (s *CallerSide) send(ctx context.Context, r *http.Request, content []byte, call *Call, c candidate) (*Response, error) {
 	if c.peer.ID == s.Node {
-		return s.RunLocal(ctx, &q.call, r, func() ([]byte, error) { return q.content, nil })
+		return s.RunLocal(ctx, call, r, func() ([]byte, error) { return content, nil })
 	}
-	out := nextHopRequest(r, q.content)
-	out.Header[headerCall] = []string{q.call.encode()}
+	out := nextHopRequest(r, content)
+	out.Header[headerCall] = []string{call.encode()}
 	out.Header[HeaderNodeToken] = []string{s.NodeToken}
-	if len(q.content) > expectContinueBytes {
+	if len(content) > expectContinueBytes {
 		out.Header["Expect"] = []string{"100-continue"}
 	}
 	resp, err := s.Exchanger.Exchange(ctx, out, c.peer.Address)
@@ -158,9 +168,7 @@
 
 // nodeFailure converts the error of an exchange with another node to a refusal.
 func (s *CallerSide) nodeFailure(ctx context.Context, err error) error {
-	if errors.Is(context.Cause(ctx), errUnresponsive) {
-		err = errUnresponsive
-	} else if refusal := contextRefusal(ctx); refusal != nil {
+	if refusal := contextRefusal(ctx); refusal != nil {
 		return refusal
 	}
 	var connect *exchanger.ConnectError
--- a/internal/relayer/event.go
+++ b/internal/relayer/event.go
@@ -51,7 +51,7 @@
 	Running     int
 	Queued      int
 
-	// Attempts are the attempts of the caller side, in order.
+	// Attempts are the attempts of the caller side. The last one decided the request.
 	Attempts []Attempt
 	// NoRetry is, on the caller side, the reason why no attempt followed the last one. It is
 	// empty if the request was served, or refused without an attempt.
@@ -89,12 +89,17 @@
 	Expected time.Duration
 	Age      time.Duration
 	Load     reporter.Load
-	// Took is the time until the outcome. Outcome is "answered" for a response with any status,
-	// or the reason of a refusal.
+	// Took is the time until the outcome. Outcome is OutcomeAnswered for a response with any
+	// status, or the reason of a refusal.
 	Took    time.Duration
 	Outcome string
+	// Unresponsive is set if the node became unresponsive during the attempt.
+	Unresponsive bool
 }
 
+// OutcomeAnswered is the outcome of an attempt that returned a response.
+const OutcomeAnswered = "answered"
+
 // fingerprintOf returns a hash of service, origin, method, host, request target and body, by which
 // requests that are the same to an endpoint are recognized. No other header is included.
 func fingerprintOf(c *Call, r *http.Request, content []byte) string {
--- a/internal/relayer/hedge_test.go
+++ b/internal/relayer/hedge_test.go
@@ -103,3 +103,22 @@
 		})
 	}
 }
+
+// Guards against an attempt that goes on at its endpoint, and keeps a slot there, after a hedge was
+// served in its place.
+func TestAttemptEndsOnceAHedgeIsServed(t *testing.T) {
+	is := is.New(t)
+	c := newTestCaller(t, router.Idempotent, outcome{status: http.StatusOK})
+	c.Exchanger = &exchanger.Exchanger{}
+	c.Table().Routes[0].Timeout = 2 * time.Second
+	cancelled := make(chan string, 10)
+	c.View.SetPeers([]Peer{peer("a", 1, true), quietPeer(t, "b", cancelled)})
+	runMonitor(t, c.View)
+	is.Equal(c.send(http.MethodGet, "/view/1", "").Code, http.StatusOK)
+	is.Equal(<-cancelled, "b")
+	attempts := c.events[0].Attempts
+	is.Equal(len(attempts), 2)
+	is.Equal(attempts[0].Node, "b")
+	is.True(attempts[0].Unresponsive)
+	is.Equal(attempts[1].Outcome, OutcomeAnswered)
+}
--- a/internal/relayer/liveness_monitor.go
+++ b/internal/relayer/liveness_monitor.go
@@ -10,8 +10,8 @@
 // livenessProbeInterval.
 const livenessCheckInterval = 25 * time.Millisecond
 
-// LivenessMonitor probes peers that leave requests without a response. It cancels the attempts at
-// unresponsive peers if the request may run again. Set the exported fields before Run.
+// LivenessMonitor probes peers that leave requests without a response, and notifies the attempts
+// at unresponsive peers. Set the exported fields before Run.
 type LivenessMonitor struct {
 	View *View
 	// Probe sends a liveness probe to the node of a peer. It does not block.
@@ -53,8 +53,8 @@
 	for _, to := range changes.probe {
 		m.Probe(to)
 	}
-	for _, f := range changes.abandoned {
-		f.abandon()
+	for _, f := range changes.notified {
+		f.onUnresponsive()
 	}
 	for _, c := range changes.peers {
 		m.OnChange(c)
@@ -63,14 +63,15 @@
 
 // livenessChanges is the result of one check of the peers.
 type livenessChanges struct {
-	probe     []netip.Addr
-	abandoned []*inFlightAttempt
+	probe []netip.Addr
+	// notified are the attempts at peers that have become unresponsive.
+	notified []*inFlightAttempt
 	// peers are the peers whose state has changed.
 	peers []LivenessChange
 }
 
-// checkLiveness determines which peers to probe and which attempts to cancel. An attempt is
-// cancelled only after livenessProbeDelay, because requests without an alternative are still sent
+// checkLiveness determines which peers to probe and which attempts to notify. An attempt is
+// notified only after livenessProbeDelay, because requests without an alternative are still sent
 // to unresponsive nodes.
 func (v *View) checkLiveness(now time.Time) livenessChanges {
 	v.mu.Lock()
@@ -96,9 +97,12 @@
 			continue
 		}
 		for f := range state.inFlight {
-			if f.retryable && now.Sub(f.started) >= livenessProbeDelay {
-				delete(state.inFlight, f)
-				changes.abandoned = append(changes.abandoned, f)
+			if f.unresponsive || now.Sub(f.started) < livenessProbeDelay {
+				continue
+			}
+			f.unresponsive = true
+			if f.onUnresponsive != nil {
+				changes.notified = append(changes.notified, f)
 			}
 		}
 	}
--- a/internal/relayer/view.go
+++ b/internal/relayer/view.go
@@ -49,12 +49,23 @@
 // inFlightAttempt is an attempt at a peer that has not ended.
 type inFlightAttempt struct {
 	started time.Time
-	// retryable is set if the request may run more than once.
-	retryable bool
-	// abandon cancels the attempt, so that another one can be made.
-	abandon func()
+	// onUnresponsive is called at most once, when the peer becomes unresponsive. It must not
+	// block. It is nil if the request may not be hedged.
+	onUnresponsive func()
+	// unresponsive is set once the peer was unresponsive during the attempt.
+	unresponsive bool
 }
 
+// attemptEnd is what the end of an attempt shows about its endpoint.
+type attemptEnd uint8
+
+const (
+	attemptSucceeded attemptEnd = iota
+	attemptFailed
+	// attemptCancelled means that the attempt shows nothing.
+	attemptCancelled
+)
+
 // SetPeers replaces the peers. The cached state of peers with an unchanged incarnation is kept.
 func (v *View) SetPeers(peers []Peer) {
 	v.mu.Lock()
@@ -101,22 +112,30 @@
 	}
 }
 
-// endAttempt records the outcome of a request that was sent to a peer.
-func (v *View) endAttempt(id string, f *inFlightAttempt, failed bool, now time.Time) {
+// endAttempt records the end of a request that was sent to a peer, and reports whether the peer was
+// unresponsive meanwhile. An attempt that was cancelled while the peer was unresponsive counts as
+// failed.
+func (v *View) endAttempt(id string, f *inFlightAttempt, end attemptEnd, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	unresponsive := f != nil && f.unresponsive
 	state := v.byID[id]
 	if state == nil {
-		return
+		return unresponsive
 	}
 	delete(state.inFlight, f)
 	state.sent = max(state.sent-1, 0)
-	if failed {
+	if end == attemptCancelled && unresponsive && state.liveness.unresponsive() {
+		end = attemptFailed
+	}
+	switch end {
+	case attemptSucceeded:
+		state.failures = 0
+	case attemptFailed:
 		state.failures++
 		state.failedAt = now
-	} else {
-		state.failures = 0
 	}
+	return unresponsive
 }
 
 // candidate is an endpoint to which a request may be sent.
--- a/internal/relayer/view_test.go
+++ b/internal/relayer/view_test.go
@@ -75,10 +75,10 @@
 	v := viewOf(peer("a", 1, false))
 	for range 3 {
 		v.beginAttempt("a", nil)
-		v.endAttempt("a", nil, true, now)
+		v.endAttempt("a", nil, attemptFailed, now)
 	}
 	is.Equal(v.candidates("proofs", nil, now)[0].Failures, 3)
 	v.beginAttempt("a", nil)
-	v.endAttempt("a", nil, false, now)
+	v.endAttempt("a", nil, attemptSucceeded, now)
 	is.Equal(v.candidates("proofs", nil, now)[0].Failures, 0)
 }
