Pass an endpoint's server error on if no other attempt does better

What callers saw: 502 of the node in place of the endpoint's own response, after an idempotent request got a server error and its retry found no other endpoint or was refused. It is the same class of fault as a request that is given up at work: an attempt's result is dropped before there is a better one.

Evidence: TestServerErrorIsPassedOnWithoutABetterResult, before:

no other endpoint: 502 != 500 retry refused: 502 != 500

Change: the server error is kept for as long as the request lasts and is returned if no later attempt is served.

Measured: the test passes; go test -race of the package passes.

--- a/internal/relayer/callerside_test.go
+++ b/internal/relayer/callerside_test.go
@@ -336,3 +336,39 @@
 	c.send(http.MethodGet, "/view/1", "")
 	is.Equal(c.View.candidates("proofs", nil, time.Now())[0].Failures, 1)
 }
+
+// Guards against replacing an endpoint's server error by a refusal, after a retry that found no
+// endpoint or was refused.
+func TestServerErrorIsPassedOnWithoutABetterResult(t *testing.T) {
+	failed := outcome{status: http.StatusInternalServerError}
+	busy := outcome{err: refused(refuser.QueueFull, "", false)}
+	tests := []struct {
+		name string
+		// next is the ID of the endpoint that is left after the server error.
+		next string
+	}{
+		{
+			name: "no other endpoint",
+			next: "a",
+		},
+		{
+			name: "retry refused",
+			next: "b",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newTestCaller(t, router.Idempotent, failed, busy)
+			local := c.RunLocal
+			c.RunLocal = func(ctx context.Context, call *Call, r *http.Request, body func() ([]byte, error)) (*Response, error) {
+				c.Node = test.next
+				c.setPeers(test.next)
+				return local(ctx, call, r, body)
+			}
+			w := c.send(http.MethodGet, "/view/1", "")
+			is.Equal(w.Code, http.StatusInternalServerError)
+			is.Equal(w.Header().Get("X-Seal"), "seal")
+		})
+	}
+}
--- a/internal/relayer/retry.go
+++ b/internal/relayer/retry.go
@@ -19,8 +19,7 @@
 	// unresponsive receives the ID of each node that becomes unresponsive during an attempt
 	// that may be hedged.
 	unresponsive chan string
-	// response is a server error of an endpoint that came while another attempt was in
-	// progress. It is used if no other attempt is served.
+	// response is a server error of an endpoint. It is used if no other attempt is served.
 	response *Response
 }
 
@@ -58,7 +57,7 @@
 		if c, estimate, ok := s.chooseEndpoint(q); ok {
 			s.start(ctx, r, q, a, c, estimate)
 		} else if len(a.nodes) == 0 {
-			return s.noEndpoint(q)
+			return s.noEndpoint(q, a)
 		}
 		if response, err := s.await(ctx, q, a); response != nil || err != nil {
 			return response, err
@@ -67,8 +66,12 @@
 }
 
 // noEndpoint returns the result of a request for which there is no further endpoint.
-func (s *CallerSide) noEndpoint(q *request) (*Response, error) {
-	if q.lastRefusal != nil {
+func (s *CallerSide) noEndpoint(q *request, a *attempts) (*Response, error) {
+	switch {
+	case a.response != nil:
+		q.event.NoRetry = RetryNoEndpoint
+		return a.response, nil
+	case q.lastRefusal != nil:
 		q.event.NoRetry = RetryNoEndpoint
 		return nil, q.lastRefusal
 	}
@@ -108,16 +111,15 @@
 		case r := <-a.results:
 			a.ended(r.node)
 			q.record(r)
-			if r.response != nil && r.response.Status < http.StatusInternalServerError {
-				return r.response, nil
-			}
-			if s.mayFollow(ctx, q, r) {
-				return nil, nil
-			}
 			if r.response != nil {
 				a.response = r.response
+				if r.response.Status < http.StatusInternalServerError {
+					return r.response, nil
+				}
 			}
 			switch {
+			case s.mayFollow(ctx, q, r):
+				return nil, nil
 			case len(a.nodes) > 0:
 				// The other attempt may still be served.
 			case a.response != nil:
