Try endpoints that refused a hedge again while an attempt waits for a silent node

What callers see: a request at a node that has failed waits for its deadline if the other endpoints refuse its hedge once.

Evidence: TestRefusedHedgeIsTriedAgain gets 504 without this.

Change: the endpoints that refused a hedge without running it are tried again after the delay that a refused caller would be told, doubled each time, while there is time to be served. Endpoints that failed are not.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -37,7 +37,7 @@
 	if i < 0 {
 		return candidate{}, estimate, false
 	}
-	q.call.NoAlternative = len(candidates) == 1 || q.reroutes >= maxReroutes-1
+	q.call.NoAlternative = len(candidates) == 1 || len(q.rerouted) >= maxReroutes-1
 	return candidates[i], estimate, true
 }
 
@@ -51,7 +51,13 @@
 	if c.peer.ID != s.Node {
 		f = &inFlightAttempt{started: started}
 		if q.route.Kind == router.Idempotent {
-			f.onUnresponsive = func() { unresponsive <- c.peer.ID }
+			f.onUnresponsive = func() {
+				select {
+				case unresponsive <- c.peer.ID:
+				default:
+					// The request has ended, or has made as many attempts as it may.
+				}
+			}
 		}
 	}
 	s.View.beginAttempt(c.peer.ID, f)
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -104,9 +104,9 @@
 	event    Event
 	// excluded holds the IDs of the nodes that refused the request or failed it.
 	excluded map[string]bool
-	// reroutes counts the attempts that a node refused without sending the request to its
-	// endpoint. retryDelay is the shortest retry delay of any refusal, or zero.
-	reroutes    int
+	// rerouted holds the IDs of the nodes that refused the request without sending it to their
+	// endpoints. retryDelay is the shortest retry delay of any refusal, or zero.
+	rerouted    []string
 	retryDelay  time.Duration
 	lastRefusal *RefusedError
 	// mayHaveRun is set once an attempt ended without certainty that the request did not run.
--- a/internal/relayer/hedge_test.go
+++ b/internal/relayer/hedge_test.go
@@ -16,18 +16,17 @@
 	"github.com/gentianlever/gentianlever/internal/router"
 )
 
-// workTime is the time that the endpoint of quietPeer works on a request, long enough for its
-// node to count as unresponsive.
+// workTime is long enough for a node that leaves probes unanswered to count as unresponsive.
 const workTime = 900 * time.Millisecond
 
 // quietPeer returns a peer whose node forwards requests, but whose liveness messages are all
-// lost, as on a full link. cancelled receives a value for each request that is cancelled while
-// the endpoint is at work.
-func quietPeer(t *testing.T, id string, cancelled chan<- string) Peer {
+// lost, as on a full link. Its endpoint works on each request for the given time. cancelled
+// receives the peer's ID for each request that is cancelled meanwhile.
+func quietPeer(t *testing.T, id string, work time.Duration, cancelled chan<- string) Peer {
 	t.Helper()
 	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
-		case <-time.After(workTime):
+		case <-time.After(work):
 			w.Header().Set("X-Seal", "seal")
 		case <-r.Context().Done():
 			cancelled <- id
@@ -93,7 +92,7 @@
 			c.Table().Routes[0].Timeout = 2 * time.Second
 			cancelled := make(chan string, 10)
 			// The local endpoint is draining, so the first attempt goes to the peer.
-			c.View.SetPeers([]Peer{peer("a", 1, true), quietPeer(t, "b", cancelled)})
+			c.View.SetPeers([]Peer{peer("a", 1, true), quietPeer(t, "b", workTime, cancelled)})
 			test.configure(c)
 			runMonitor(t, c.View)
 			w := c.send(http.MethodGet, "/view/1", "")
@@ -112,7 +111,7 @@
 	c.Exchanger = &exchanger.Exchanger{}
 	c.Table().Routes[0].Timeout = 2 * time.Second
 	cancelled := make(chan string, 10)
-	c.View.SetPeers([]Peer{peer("a", 1, true), quietPeer(t, "b", cancelled)})
+	c.View.SetPeers([]Peer{peer("a", 1, true), quietPeer(t, "b", workTime, cancelled)})
 	runMonitor(t, c.View)
 	is.Equal(c.send(http.MethodGet, "/view/1", "").Code, http.StatusOK)
 	is.Equal(<-cancelled, "b")
@@ -122,3 +121,19 @@
 	is.True(attempts[0].Unresponsive)
 	is.Equal(attempts[1].Outcome, OutcomeAnswered)
 }
+
+// Guards against a request that waits for a node that has failed until its deadline, because the
+// other endpoints refused its hedge once. A caller that got a refusal would have tried again.
+func TestRefusedHedgeIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	full := outcome{err: refused(refuser.QueueFull, "", false)}
+	c := newTestCaller(t, router.Idempotent, full, outcome{status: http.StatusOK})
+	c.Exchanger = &exchanger.Exchanger{}
+	c.Table().Routes[0].Timeout = 10 * time.Second
+	c.Table().Routes[0].Target = time.Second
+	cancelled := make(chan string, 10)
+	c.View.SetPeers([]Peer{peer("a", 1, true), quietPeer(t, "b", 10*time.Second, cancelled)})
+	runMonitor(t, c.View)
+	is.Equal(c.send(http.MethodGet, "/view/1", "").Code, http.StatusOK)
+	is.Equal(c.attempts, 2)
+}
--- a/internal/relayer/retry.go
+++ b/internal/relayer/retry.go
@@ -21,6 +21,10 @@
 	unresponsive chan string
 	// response is a server error of an endpoint. It is used if no other attempt is served.
 	response *Response
+	// retry fires when endpoints that refused a hedge are tried again; nil if that is not due.
+	// retries counts these times.
+	retry   <-chan time.Time
+	retries int
 }
 
 // result is the result of one attempt. Either response or refused is set.
@@ -54,10 +58,14 @@
 		if err := contextRefusal(ctx); err != nil && len(a.nodes) == 0 {
 			return nil, err
 		}
-		if c, estimate, ok := s.chooseEndpoint(q); ok {
+		c, estimate, ok := s.chooseEndpoint(q)
+		switch {
+		case ok && ctx.Err() == nil:
 			s.start(ctx, r, q, a, c, estimate)
-		} else if len(a.nodes) == 0 {
+		case len(a.nodes) == 0:
 			return s.noEndpoint(q, a)
+		default:
+			s.scheduleRetry(q, a)
 		}
 		if response, err := s.await(ctx, q, a); response != nil || err != nil {
 			return response, err
@@ -108,6 +116,11 @@
 			if slices.Contains(a.nodes, node) && len(a.results) == 0 && s.mayHedge(ctx, q, node) {
 				return nil, nil
 			}
+		case <-a.retry:
+			a.retry = nil
+			if q.retryRefused() {
+				return nil, nil
+			}
 		case r := <-a.results:
 			a.ended(r.node)
 			q.record(r)
@@ -122,6 +135,9 @@
 				return nil, nil
 			case len(a.nodes) > 0:
 				// The other attempt may still be served.
+				if q.event.NoRetry == RetryReroutesUsed {
+					s.scheduleRetry(q, a)
+				}
 			case a.response != nil:
 				return a.response, nil
 			default:
@@ -131,6 +147,27 @@
 	}
 }
 
+// scheduleRetry schedules another try of the endpoints that refused a hedge, after the delay that a
+// refused caller would be told. The delay doubles with each try.
+func (s *CallerSide) scheduleRetry(q *request, a *attempts) {
+	a.retry = time.After(s.retryAfter(q) << a.retries)
+	a.retries++
+}
+
+// retryRefused allows the endpoints whose nodes refused a hedge to be tried again, and reports
+// whether there is time for that.
+func (q *request) retryRefused() bool {
+	if time.Now().Add(fromMicros(q.call.DefaultServiceTime)).After(q.deadline) {
+		q.event.NoRetry = RetryDeadline
+		return false
+	}
+	for _, node := range q.rerouted {
+		delete(q.excluded, node)
+	}
+	q.rerouted = nil
+	return true
+}
+
 // mayFollow records a failed attempt in q, and reports whether another one may follow.
 func (s *CallerSide) mayFollow(ctx context.Context, q *request, r result) bool {
 	if r.refused != nil {
@@ -194,8 +231,8 @@
 		q.call.Attempt++
 		return true
 	}
-	q.reroutes++
-	if q.reroutes > maxReroutes {
+	q.rerouted = append(q.rerouted, r.node)
+	if len(q.rerouted) > maxReroutes {
 		q.event.NoRetry = RetryReroutesUsed
 		return false
 	}
