Keep a request from a second attempt at the endpoint of its hedge

What callers saw: 502 for a request at which the endpoint of its hedge was at work, and the endpoint got the request twice at the same time.

Cause: only nodes that had ended an attempt or were silent were excluded from the choice of an endpoint. If the attempt at the silent node failed while the hedge was in progress, the endpoint of the hedge could be chosen again. Both attempts then had one entry each in attempts.nodes, and the end of one removed both: a refusal of the second ended the request and cancelled the first, and an attempt could outlive its request.

Evidence: TestEndpointOfAHedgeGetsNoSecondAttempt, before: 502 != 200.

Change: a node is excluded from the start of an attempt. All other paths to a further attempt excluded it at the end already.

--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -102,7 +102,8 @@
 	deadline time.Time
 	content  []byte
 	event    Event
-	// excluded holds the IDs of the nodes that refused the request or failed it.
+	// excluded holds the IDs of the nodes that get no further attempt: those at which one is in
+	// progress, and those that refused the request or failed it.
 	excluded map[string]bool
 	// rerouted holds the IDs of the nodes that refused the request without sending it to their
 	// endpoints. retryDelay is the shortest retry delay of any refusal, or zero.
--- a/internal/relayer/retry.go
+++ b/internal/relayer/retry.go
@@ -94,6 +94,7 @@
 	hedgeable := c.peer.ID != s.Node && q.route.Kind == router.Idempotent
 	call := q.call
 	a.nodes = append(a.nodes, c.peer.ID)
+	q.excluded[c.peer.ID] = true
 	attempt := func() { a.results <- s.attempt(ctx, r, q, call, c, estimate, a.unresponsive) }
 	if hedgeable || len(a.nodes) > 1 {
 		go attempt()
