Decide on each further attempt by the attempts in progress

What callers see: a request at a node that has failed waits for its deadline if no hedge was possible at the moment when the node became unresponsive, or gets its hedge's server error only then. What endpoints see: one more attempt at a request that a responsive node is at work on.

Cause: whether another attempt may be made was decided once, when an attempt ended or its node fell silent, and without regard to the other attempts in progress.

Evidence (by the reviewer of the fix, on the code before):

TestNoRetryOfAHedgeBesideAResponsiveNode: 2 != 1 TestNoFurtherAttemptBesideAResponsiveHedge: 3 != 2 TestServerErrorReachesTheCallerBeforeItsDeadline: after 2.0016 s of 2 s TestHedgeIsMadeOnceAnEndpointIsKnown: 504 != 200

Change: a request has at most one attempt in progress at a responsive node. While all of them are at unresponsive nodes, a hedge that is not possible or was refused is tried again after the retry delay, doubled each time. A server error is passed on at once if only unresponsive nodes are left and no attempt may follow. A refusal that applies to all endpoints ends the hedging.

Measured: the four tests and all others of the package pass with -race.

--- a/internal/relayer/event.go
+++ b/internal/relayer/event.go
@@ -73,6 +73,8 @@
 	RetryReroutesUsed NoRetry = "reroutes-used"
 	// RetryDeadline means that too little time is left, or none.
 	RetryDeadline NoRetry = "deadline"
+	// RetryCancelled means that the caller has disconnected.
+	RetryCancelled NoRetry = "cancelled"
 	// RetryBudgetUsed means that the retry budget of the service is exhausted.
 	RetryBudgetUsed NoRetry = "budget-used"
 	// RetryNoEndpoint means that no other endpoint of the service is known.
--- a/internal/relayer/hedge_failure_test.go
+++ b/internal/relayer/hedge_failure_test.go
@@ -66,3 +66,103 @@
 	is.Equal(c.send(http.MethodGet, "/view/1", "").Code, http.StatusOK)
 	is.Equal(most.Load(), int32(1))
 }
+
+// Guards against a retry of a refused hedge beside an attempt at a responsive node: a request has
+// more than one attempt in progress only while the others are at silent nodes.
+func TestNoRetryOfAHedgeBesideAResponsiveNode(t *testing.T) {
+	is := is.New(t)
+	c := newTestCaller(t, router.Idempotent, outcome{status: http.StatusOK})
+	c.Exchanger = &exchanger.Exchanger{}
+	c.Table().Routes[0].Timeout = 2 * time.Second
+	c.Table().Routes[0].MaxAttempts = 3
+	fail := make(chan struct{})
+	silent := failingPeer(t, "b", fail)
+	c.View.SetPeers([]Peer{peer("a", 1, true), silent})
+	local := 0
+	c.RunLocal = func(context.Context, *Call, *http.Request, func() ([]byte, error)) (*Response, error) {
+		local++
+		if local == 1 {
+			// The hedge is refused. Then another endpoint is known, and the silent node fails.
+			time.AfterFunc(livenessCheckInterval, func() {
+				c.View.SetPeers([]Peer{peer("a", 1, true), silent, quietPeer(t, "c", 700*time.Millisecond, make(chan string, 10))})
+				close(fail)
+			})
+		}
+		return nil, refused(refuser.QueueFull, "", false)
+	}
+	// The monitor ends before the attempt at c counts as unresponsive.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	m := &LivenessMonitor{
+		View:  c.View,
+		Probe: func(netip.Addr) {},
+		OnChange: func(l LivenessChange) {
+			if l.Peer.ID == "b" {
+				cancel()
+			}
+		},
+	}
+	go func() { _ = m.Run(ctx) }()
+	is.Equal(c.send(http.MethodGet, "/view/1", "").Code, http.StatusOK)
+	is.Equal(local, 1)
+}
+
+// Guards against another attempt beside a hedge at a responsive node, because the silent node refuses
+// the request at last.
+func TestNoFurtherAttemptBesideAResponsiveHedge(t *testing.T) {
+	is := is.New(t)
+	c := newTestCaller(t, router.Idempotent, outcome{status: http.StatusOK})
+	c.Exchanger = &exchanger.Exchanger{}
+	c.Table().Routes[0].Timeout = 2 * time.Second
+	refuse := make(chan struct{})
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-refuse
+		writeRefused(w, &RefusedError{Refusal: &refuser.Refusal{Reason: refuser.QueueFull}})
+	}))
+	t.Cleanup(node.Close)
+	silent := peer("b", 1, false)
+	silent.Address = netip.MustParseAddrPort(node.Listener.Addr().String())
+	cancelled := make(chan string, 10)
+	other := quietPeer(t, "c", 10*time.Second, cancelled)
+	c.View.SetPeers([]Peer{peer("a", 1, true), silent})
+	c.RunLocal = func(ctx context.Context, _ *Call, _ *http.Request, _ func() ([]byte, error)) (*Response, error) {
+		c.View.SetPeers([]Peer{peer("a", 1, true), silent, other})
+		close(refuse)
+		select {
+		case <-time.After(300 * time.Millisecond):
+			return &Response{Status: http.StatusOK}, nil
+		case <-ctx.Done():
+			return nil, contextRefusal(ctx)
+		}
+	}
+	runMonitor(t, c.View)
+	is.Equal(c.send(http.MethodGet, "/view/1", "").Code, http.StatusOK)
+	is.Equal(len(c.events[0].Attempts), 2)
+}
+
+// Guards against passing an endpoint's server error on only when the caller's deadline has passed,
+// because an attempt at a silent node is awaited until then.
+func TestServerErrorReachesTheCallerBeforeItsDeadline(t *testing.T) {
+	is := is.New(t)
+	c := newTestCaller(t, router.Idempotent, outcome{status: http.StatusInternalServerError})
+	c.Exchanger = &exchanger.Exchanger{}
+	c.Table().Routes[0].Timeout = 2 * time.Second
+	c.View.SetPeers([]Peer{peer("a", 1, true), quietPeer(t, "b", 10*time.Second, make(chan string, 10))})
+	runMonitor(t, c.View)
+	is.Equal(c.send(http.MethodGet, "/view/1", "").Code, http.StatusInternalServerError)
+	is.True(c.events[0].Duration < 2*time.Second)
+}
+
+// Guards against a request that waits for its deadline at a node that has failed, because no other
+// endpoint was known when the node became unresponsive.
+func TestHedgeIsMadeOnceAnEndpointIsKnown(t *testing.T) {
+	is := is.New(t)
+	c := newTestCaller(t, router.Idempotent, outcome{status: http.StatusOK})
+	c.Exchanger = &exchanger.Exchanger{}
+	c.Table().Routes[0].Timeout = 2 * time.Second
+	silent := quietPeer(t, "b", 10*time.Second, make(chan string, 10))
+	c.View.SetPeers([]Peer{silent})
+	runMonitor(t, c.View)
+	time.AfterFunc(workTime, func() { c.View.SetPeers([]Peer{peer("a", 1, false), silent}) })
+	is.Equal(c.send(http.MethodGet, "/view/1", "").Code, http.StatusOK)
+}
--- a/internal/relayer/retry.go
+++ b/internal/relayer/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -11,20 +12,30 @@
 	"github.com/gentianlever/gentianlever/internal/router"
 )
 
-// attempts are the attempts of one request that are in progress.
+// attempts are the attempts of one request.
 type attempts struct {
-	// nodes are the IDs of the nodes at which attempts are in progress.
-	nodes   []string
-	results chan result
+	inProgress []inProgress
+	results    chan result
 	// unresponsive receives the ID of each node that becomes unresponsive during an attempt
 	// that may be hedged.
 	unresponsive chan string
-	// response is a server error of an endpoint. It is used if no other attempt is served.
-	response *Response
-	// retry fires when endpoints that refused a hedge are tried again; nil if that is not due.
-	// retries counts these times.
-	retry   <-chan time.Time
-	retries int
+	// served is the result with a server error of an endpoint. It is used if no other attempt
+	// is served.
+	served *result
+	// allowed is set if another attempt may be made now. unused is set if one was allowed, and
+	// all nodes that were asked refused it without sending it to their endpoints.
+	allowed bool
+	unused  bool
+	// retry fires when a hedge that was not possible is tried again; delays counts how often
+	// it was scheduled.
+	retry  <-chan time.Time
+	delays int
+}
+
+// inProgress is an attempt in progress. silent is set once its node is unresponsive.
+type inProgress struct {
+	node   string
+	silent bool
 }
 
 // result is the result of one attempt. Either response or refused is set.
@@ -35,6 +46,21 @@
 	refused  *RefusedError
 }
 
+// onlySilent reports whether attempts are in progress, and all of them at unresponsive nodes.
+func (a *attempts) onlySilent() bool {
+	responsive := func(p inProgress) bool { return !p.silent }
+	return len(a.inProgress) > 0 && !slices.ContainsFunc(a.inProgress, responsive)
+}
+
+// markSilent marks the attempt at a node that has become unresponsive.
+func (a *attempts) markSilent(node string) {
+	for i := range a.inProgress {
+		if a.inProgress[i].node == node {
+			a.inProgress[i].silent = true
+		}
+	}
+}
+
 // run makes attempts until one returns a final response or no further attempt is allowed. If the
 // node of an attempt becomes unresponsive, the attempt goes on, because the endpoint may still be
 // at work, and another one may be made as a hedge; the first one that is served wins.
@@ -49,38 +75,42 @@
 	a := &attempts{
 		results:      make(chan result, limit),
 		unresponsive: make(chan string, limit),
+		allowed:      true,
 	}
 	defer func() {
 		cancel()
 		q.awaitCancelled(a)
 	}()
 	for {
-		if err := contextRefusal(ctx); err != nil && len(a.nodes) == 0 {
-			return nil, err
+		if a.allowed && ctx.Err() == nil {
+			if c, estimate, ok := s.chooseEndpoint(q); ok {
+				s.start(ctx, r, q, a, c, estimate)
+			} else if a.served != nil || q.lastRefusal != nil {
+				q.event.NoRetry = RetryNoEndpoint
+			}
 		}
-		c, estimate, ok := s.chooseEndpoint(q)
-		switch {
-		case ok && ctx.Err() == nil:
-			s.start(ctx, r, q, a, c, estimate)
-		case len(a.nodes) == 0:
-			return s.noEndpoint(q, a)
-		default:
-			s.scheduleRetry(q, a)
+		if len(a.inProgress) == 0 {
+			return s.finish(ctx, q, a)
 		}
-		if response, err := s.await(ctx, q, a); response != nil || err != nil {
-			return response, err
+		if a.onlySilent() && a.retry == nil {
+			a.retry = time.After(s.retryAfter(q) << a.delays)
+			a.delays++
+		}
+		if s.await(ctx, q, a) {
+			return s.finish(ctx, q, a)
 		}
 	}
 }
 
-// noEndpoint returns the result of a request for which there is no further endpoint.
-func (s *CallerSide) noEndpoint(q *request, a *attempts) (*Response, error) {
-	switch {
-	case a.response != nil:
-		q.event.NoRetry = RetryNoEndpoint
-		return a.response, nil
+// finish returns the final response, or the refusal if there is none.
+func (s *CallerSide) finish(ctx context.Context, q *request, a *attempts) (*Response, error) {
+	switch err := contextRefusal(ctx); {
+	case a.served != nil:
+		q.event.Endpoint = a.served.response.Endpoint
+		return a.served.response, nil
+	case err != nil:
+		return nil, err
 	case q.lastRefusal != nil:
-		q.event.NoRetry = RetryNoEndpoint
 		return nil, q.lastRefusal
 	}
 	return nil, &refuser.Refusal{
@@ -91,159 +121,134 @@
 
 // start begins an attempt. An attempt that can't be hedged runs on the request's own goroutine.
 func (s *CallerSide) start(ctx context.Context, r *http.Request, q *request, a *attempts, c candidate, estimate placer.Estimate) {
-	hedgeable := c.peer.ID != s.Node && q.route.Kind == router.Idempotent
-	call := q.call
-	a.nodes = append(a.nodes, c.peer.ID)
+	a.allowed, a.unused, a.retry = false, false, nil
+	a.inProgress = append(a.inProgress, inProgress{node: c.peer.ID})
 	q.excluded[c.peer.ID] = true
+	call := q.call
 	attempt := func() { a.results <- s.attempt(ctx, r, q, call, c, estimate, a.unresponsive) }
-	if hedgeable || len(a.nodes) > 1 {
+	hedgeable := c.peer.ID != s.Node && q.route.Kind == router.Idempotent
+	if hedgeable || len(a.inProgress) > 1 {
 		go attempt()
 		return
 	}
 	attempt()
 }
 
-// ended removes the node of an attempt that has ended.
-func (a *attempts) ended(node string) {
-	a.nodes = slices.DeleteFunc(a.nodes, func(id string) bool { return id == node })
-}
-
-// await waits until the request has its final response or refusal, which it returns, or until
-// another attempt may be made.
-func (s *CallerSide) await(ctx context.Context, q *request, a *attempts) (*Response, error) {
-	for {
-		select {
-		case node := <-a.unresponsive:
-			if slices.Contains(a.nodes, node) && len(a.results) == 0 && s.mayHedge(ctx, q, node) {
-				return nil, nil
-			}
-		case <-a.retry:
-			a.retry = nil
-			if q.retryRefused() {
-				return nil, nil
-			}
-		case r := <-a.results:
-			a.ended(r.node)
-			q.record(r)
-			if r.response != nil {
-				a.response = r.response
-				if r.response.Status < http.StatusInternalServerError {
-					return r.response, nil
-				}
-			}
-			switch {
-			case s.mayFollow(ctx, q, r):
-				return nil, nil
-			case len(a.nodes) > 0:
-				// The other attempt may still be served.
-				if q.event.NoRetry == RetryReroutesUsed {
-					s.scheduleRetry(q, a)
-				}
-			case a.response != nil:
-				return a.response, nil
-			default:
-				return nil, r.refused
-			}
+// await waits until an attempt ends or a hedge is due, and sets a.allowed. It returns true if the
+// request is decided.
+func (s *CallerSide) await(ctx context.Context, q *request, a *attempts) bool {
+	select {
+	case node := <-a.unresponsive:
+		a.markSilent(node)
+		if a.onlySilent() && len(a.results) == 0 {
+			a.allowed = a.allowed || s.mayHedge(ctx, q)
 		}
+		return false
+	case <-a.retry:
+		a.retry = nil
+		q.restoreRerouted()
+		a.allowed = a.allowed || a.unused || s.mayHedge(ctx, q)
+		return false
+	case r := <-a.results:
+		return s.handleResult(ctx, q, a, r)
 	}
 }
 
-// scheduleRetry schedules another try of the endpoints that refused a hedge, after the delay that a
-// refused caller would be told. The delay doubles with each try.
-func (s *CallerSide) scheduleRetry(q *request, a *attempts) {
-	a.retry = time.After(s.retryAfter(q) << a.retries)
-	a.retries++
-}
-
-// retryRefused allows the endpoints whose nodes refused a hedge to be tried again, and reports
-// whether there is time for that.
-func (q *request) retryRefused() bool {
-	if time.Now().Add(fromMicros(q.call.DefaultServiceTime)).After(q.deadline) {
-		q.event.NoRetry = RetryDeadline
+// handleResult handles the end of an attempt. It sets a.allowed if another one may be made, and
+// returns true if the request is decided.
+func (s *CallerSide) handleResult(ctx context.Context, q *request, a *attempts, r result) bool {
+	a.inProgress = slices.DeleteFunc(a.inProgress, func(p inProgress) bool { return p.node == r.node })
+	q.event.Attempts = append(q.event.Attempts, r.log)
+	if r.response != nil {
+		a.served = &r
+		if r.response.Status < http.StatusInternalServerError {
+			return true
+		}
+		q.mayHaveRun = true
+	} else {
+		q.recordRefusal(r)
+	}
+	if len(a.inProgress) > 0 && !a.onlySilent() {
+		// A responsive node is still at work on the request.
 		return false
 	}
-	for _, node := range q.rerouted {
-		delete(q.excluded, node)
+	a.allowed = s.mayFollow(ctx, q, r)
+	a.unused = !a.allowed && q.event.NoRetry == RetryReroutesUsed
+	switch {
+	case a.allowed:
+		return false
+	case a.served != nil:
+		return true
 	}
-	q.rerouted = nil
-	return true
+	return len(a.inProgress) == 0
 }
 
-// mayFollow records a failed attempt in q, and reports whether another one may follow.
-func (s *CallerSide) mayFollow(ctx context.Context, q *request, r result) bool {
-	if r.refused != nil {
-		return s.afterRefusal(ctx, q, r)
+// recordRefusal records the refusal of an attempt in q.
+func (q *request) recordRefusal(r result) {
+	refused := r.refused
+	q.lastRefusal = refused
+	if refused.Row().Ran != refuser.NotRun {
+		q.mayHaveRun = true
+	}
+	if refused.RetryDelay > 0 && (q.retryDelay == 0 || refused.RetryDelay < q.retryDelay) {
+		q.retryDelay = refused.RetryDelay
+	}
+	if !refused.Arrived && refused.Row().Ran == refuser.NotRun {
+		q.rerouted = append(q.rerouted, r.node)
 	}
-	return s.afterServerError(ctx, q, r)
 }
 
-// record adds the result of an attempt to the event of the request.
-func (q *request) record(r result) {
-	q.event.Attempts = append(q.event.Attempts, r.log)
-	if r.response != nil {
-		q.event.Endpoint = r.response.Endpoint
+// restoreRerouted allows the endpoints whose nodes refused the request without sending it there to
+// be tried again.
+func (q *request) restoreRerouted() {
+	for _, node := range q.rerouted {
+		delete(q.excluded, node)
 	}
+	q.rerouted = nil
 }
 
 // awaitCancelled waits for the attempts that have been cancelled, so that none outlives its
 // request, and records them before the one that has decided the request.
 func (q *request) awaitCancelled(a *attempts) {
-	for range a.nodes {
+	for range a.inProgress {
 		r := <-a.results
 		q.event.Attempts = slices.Insert(q.event.Attempts, max(len(q.event.Attempts)-1, 0), r.log)
 	}
 }
 
-// afterServerError records an endpoint's server error in q, and reports whether another attempt
-// may follow.
-func (s *CallerSide) afterServerError(ctx context.Context, q *request, r result) bool {
-	if !s.mayRetry(ctx, q, true) {
-		return false
-	}
-	q.mayHaveRun = true
-	q.excluded[r.node] = true
-	q.call.Attempt++
-	return true
-}
-
-// afterRefusal records a refusal in q, and reports whether another attempt may follow.
-func (s *CallerSide) afterRefusal(ctx context.Context, q *request, r result) bool {
-	refused := r.refused
-	q.lastRefusal = refused
-	q.excluded[r.node] = true
-	row := refused.Row()
-	if row.Ran != refuser.NotRun {
-		q.mayHaveRun = true
-	}
-	if refused.RetryDelay > 0 && (q.retryDelay == 0 || refused.RetryDelay < q.retryDelay) {
-		q.retryDelay = refused.RetryDelay
-	}
+// mayFollow reports whether another attempt may follow the one that ended with r and was not
+// served. Otherwise it sets q.event.NoRetry.
+func (s *CallerSide) mayFollow(ctx context.Context, q *request, r result) bool {
+	mayHaveRun := r.refused == nil || r.refused.Row().Ran != refuser.NotRun
 	switch {
-	case ctx.Err() != nil:
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		q.event.NoRetry = RetryDeadline
 		return false
-	case row.Retry == refuser.RetryNever:
+	case ctx.Err() != nil:
+		q.event.NoRetry = RetryCancelled
+		return false
+	case r.refused != nil && r.refused.Row().Retry == refuser.RetryNever:
 		q.event.NoRetry = RetryFinal
 		return false
-	case refused.Arrived || row.Ran != refuser.NotRun:
-		if !s.mayRetry(ctx, q, row.Ran != refuser.NotRun) {
+	case mayHaveRun || r.refused.Arrived:
+		if !s.mayRetry(ctx, q, mayHaveRun) {
 			return false
 		}
 		q.call.Attempt++
 		return true
-	}
-	q.rerouted = append(q.rerouted, r.node)
-	if len(q.rerouted) > maxReroutes {
+	case len(q.rerouted) > maxReroutes:
 		q.event.NoRetry = RetryReroutesUsed
 		return false
 	}
 	return true
 }
 
-// mayHedge reports whether a hedge of the attempt at an unresponsive node may be made, and takes a
+// mayHedge reports whether a hedge of the attempts at unresponsive nodes may be made, and takes a
 // retry from the budget if so.
-func (s *CallerSide) mayHedge(ctx context.Context, q *request, node string) bool {
-	q.excluded[node] = true
+func (s *CallerSide) mayHedge(ctx context.Context, q *request) bool {
+	if q.event.NoRetry == RetryFinal {
+		return false
+	}
 	if len(s.View.candidates(q.call.Service, q.excluded, time.Now())) == 0 {
 		q.event.NoRetry = RetryNoEndpoint
 		return false
