Record the attempt that decided a request last

What operators see: a wrong added-seconds metric.

Evidence: TestLastAttemptDecidedTheRequest, before: queue-full != answered.

Change: the entry of the attempt whose response is passed on moves to the end.

--- a/internal/relayer/retry.go
+++ b/internal/relayer/retry.go
@@ -106,7 +106,7 @@
 func (s *CallerSide) finish(ctx context.Context, q *request, a *attempts) (*Response, error) {
 	switch err := contextRefusal(ctx); {
 	case a.served != nil:
-		q.event.Endpoint = a.served.response.Endpoint
+		q.recordLast(a.served)
 		return a.served.response, nil
 	case err != nil:
 		return nil, err
@@ -207,6 +207,13 @@
 	q.rerouted = nil
 }
 
+// recordLast moves the attempt that decided the request to the end of the event's attempts.
+func (q *request) recordLast(r *result) {
+	i := slices.Index(q.event.Attempts, r.log)
+	q.event.Attempts = append(slices.Delete(q.event.Attempts, i, i+1), r.log)
+	q.event.Endpoint = r.response.Endpoint
+}
+
 // awaitCancelled waits for the attempts that have been cancelled, so that none outlives its
 // request, and records them before the one that has decided the request.
 func (q *request) awaitCancelled(a *attempts) {
