Keep a hedge at work when the primary attempt gets a server error

What callers saw: the 500 of the primary attempt, although the endpoint of the hedge was at work and would have answered.

Cause: settle cancelled the hedge for a response with any status.

Change: after a server error the call waits for a hedge in flight, as it does after a refusal, and passes the server error on only if the hedge is not served.

--- a/internal/forwarder/hedge.go
+++ b/internal/forwarder/hedge.go
@@ -129,31 +129,41 @@
 }
 
 // settle returns the result of the call, given that of a primary attempt. If the primary
-// attempt failed, it waits for a hedge in flight: the hedge may still get a response, and
-// only at its end is it known whether the request may have run.
+// attempt failed or got a server error, it waits for a hedge in flight: the hedge may still
+// be served, and only at its end is it known whether the request may have run.
 func (h *hedge) settle(resp *attemptResponse, err error) (*attemptResponse, error) {
 	if h == nil {
 		return resp, err
 	}
 	if err == nil {
+		end := picker.Cancelled
+		if resp.StatusCode >= http.StatusInternalServerError {
+			end = picker.Failed
+			h.wait()
+		}
 		hedged := h.cancelUnlessWon()
 		if hedged == nil {
 			return resp, nil
 		}
-		resp.discard(picker.Cancelled)
+		resp.discard(end)
 		return hedged, nil
 	}
+	if h.wait() && h.resp != nil {
+		return h.resp, nil
+	}
+	return nil, err
+}
+
+// wait waits for the end of the hedge. It returns false if the hedge has not started.
+func (h *hedge) wait() bool {
 	h.mu.Lock()
 	done := h.done
 	h.mu.Unlock()
 	if done == nil {
-		return nil, err
+		return false
 	}
 	<-done
-	if h.resp != nil {
-		return h.resp, nil
-	}
-	return nil, err
+	return true
 }
 
 // cancelUnlessWon returns the response of the hedge if it won, and cancels it otherwise.
