Keep TestAttemptEndsOnceAHedgeIsServed from waiting on a slow machine

The silent node's endpoint answered after 0.9 s, and the node counts as silent after 0.4 s. On a machine that stalls for half a second the first attempt is served, no attempt is cancelled, and the test waits for a cancellation until go test ends it.

The endpoint now works for longer than the request's deadline, so that only the hedge can be served. The checks are unchanged.

--- a/internal/relayer/hedge_test.go
+++ b/internal/relayer/hedge_test.go
@@ -111,7 +111,7 @@
 	c.Exchanger = &exchanger.Exchanger{}
 	c.Table().Routes[0].Timeout = 2 * time.Second
 	cancelled := make(chan string, 10)
-	c.View.SetPeers([]Peer{peer("a", 1, true), quietPeer(t, "b", workTime, cancelled)})
+	c.View.SetPeers([]Peer{peer("a", 1, true), quietPeer(t, "b", 10*time.Second, cancelled)})
 	runMonitor(t, c.View)
 	is.Equal(c.send(http.MethodGet, "/view/1", "").Code, http.StatusOK)
 	is.Equal(<-cancelled, "b")
