Count a failed attempt against the incarnation that it was at

What operators see: a node that has just started gets fewer requests, because an attempt at its previous process, which ends with the old connection, counts as a failure of the new one and as one request fewer in progress there.

Cause: endAttempt finds the peer by its ID only, while SetPeers replaces the state of a peer with a new incarnation.

Evidence: TestFailuresOfAnEarlierIncarnation, 1 != 0 before.

--- a/internal/relayer/view.go
+++ b/internal/relayer/view.go
@@ -120,7 +120,8 @@
 	defer v.mu.Unlock()
 	unresponsive := f != nil && f.unresponsive
 	state := v.byID[id]
-	if state == nil {
+	if state == nil || f != nil && !state.inFlight[f] {
+		// The peer has left, or the attempt was at an earlier incarnation.
 		return unresponsive
 	}
 	delete(state.inFlight, f)
--- a/internal/relayer/view_test.go
+++ b/internal/relayer/view_test.go
@@ -82,3 +82,19 @@
 	v.endAttempt("a", nil, attemptSucceeded, now)
 	is.Equal(v.candidates("proofs", nil, now)[0].Failures, 0)
 }
+
+// Guards against counting the failure of an attempt at an earlier incarnation of a peer against the
+// new one.
+func TestFailuresOfAnEarlierIncarnation(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	v := viewOf(peer("a", 1, false))
+	f := &inFlightAttempt{started: now}
+	v.beginAttempt("a", f)
+	v.SetPeers([]Peer{peer("a", 2, false)})
+	v.beginAttempt("a", &inFlightAttempt{started: now})
+	v.endAttempt("a", f, attemptFailed, now)
+	c := v.candidates("proofs", nil, now)[0]
+	is.Equal(c.Failures, 0)
+	is.Equal(c.Sent, 1)
+}
