Hedge attempts at nodes that were replaced or have left

What callers see: 504 at the deadline for a request whose node was replaced or has failed, although another endpoint is known.

Cause: SetPeers drops the state of a peer that is gone or has a new incarnation, and with it the attempts in flight there, and LivenessMonitor notifies only attempts at current peers.

Evidence: TestAttemptAtAReplacedNodeIsHedged, before: 504 != 200.

Change: the attempts at peers that are gone are notified as if their peers were unresponsive, so that they may be hedged. They go on too, because a leaving node finishes its requests.

Measured: the test passes; go test -race of the package passes.

--- a/internal/relayer/hedge_failure_test.go
+++ b/internal/relayer/hedge_failure_test.go
@@ -166,3 +166,18 @@
 	time.AfterFunc(workTime, func() { c.View.SetPeers([]Peer{peer("a", 1, false), silent}) })
 	is.Equal(c.send(http.MethodGet, "/view/1", "").Code, http.StatusOK)
 }
+
+// Guards against a request that waits for its deadline at a node that was replaced by a new
+// incarnation, or has left, before it counted as unresponsive.
+func TestAttemptAtAReplacedNodeIsHedged(t *testing.T) {
+	is := is.New(t)
+	c := newTestCaller(t, router.Idempotent, outcome{status: http.StatusOK})
+	c.Exchanger = &exchanger.Exchanger{}
+	c.Table().Routes[0].Timeout = 2 * time.Second
+	silent := quietPeer(t, "b", 10*time.Second, make(chan string, 10))
+	c.View.SetPeers([]Peer{peer("a", 1, true), silent})
+	runMonitor(t, c.View)
+	silent.Incarnation = 2
+	time.AfterFunc(livenessProbeDelay, func() { c.View.SetPeers([]Peer{peer("a", 1, true), silent}) })
+	is.Equal(c.send(http.MethodGet, "/view/1", "").Code, http.StatusOK)
+}
--- a/internal/relayer/view.go
+++ b/internal/relayer/view.go
@@ -67,7 +67,15 @@
 )
 
 // SetPeers replaces the peers. The cached state of peers with an unchanged incarnation is kept.
+// Attempts at the others are notified as if their peers were unresponsive.
 func (v *View) SetPeers(peers []Peer) {
+	for _, f := range v.replacePeers(peers) {
+		f.onUnresponsive()
+	}
+}
+
+// replacePeers replaces the peers, and returns the attempts at those that are gone.
+func (v *View) replacePeers(peers []Peer) []*inFlightAttempt {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	services := make(map[string][]*peerState)
@@ -81,7 +89,20 @@
 		byID[p.ID] = state
 		services[p.Service] = append(services[p.Service], state)
 	}
+	var notified []*inFlightAttempt
+	for id, state := range v.byID {
+		if byID[id] == state {
+			continue
+		}
+		for f := range state.inFlight {
+			if !f.unresponsive && f.onUnresponsive != nil {
+				f.unresponsive = true
+				notified = append(notified, f)
+			}
+		}
+	}
 	v.services, v.byID = services, byID
+	return notified
 }
 
 // Report updates the load of an endpoint and counts as a sign that its node responds. Reports of
