--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -97,7 +97,7 @@
 		Name:   Attempts,
 		Kind:   Counter,
 		Labels: []string{"outcome"},
-		Help:   "attempts at nodes, by outcome; all but the first attempt of a request are moves to another node or retries",
+		Help:   "attempts at nodes, by outcome; all but the first attempt of a request are moves to another node, retries or hedges",
 	},
 	{
 		Name:   StoreCalls,
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -328,7 +328,7 @@
 		Status: statusClientClosed,
 		Ran:    RanUnknown,
 		Retry:  RetryNever,
-		Help:   "the caller disconnected before the response was complete, or the request body could not be read",
+		Help:   "the caller disconnected before the response was complete, the request body could not be read, or another attempt was served",
 	},
 }
 
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -55,7 +55,7 @@
 				select {
 				case unresponsive <- c.peer.ID:
 				default:
-					// The request has ended, or has made as many attempts as it may.
+					// The request reads no more: it has been decided.
 				}
 			}
 		}
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	// maxReroutes is the maximum number of times that a request is sent to another node after a
-	// refusal without having run. Each refusal costs a round trip between zones but no endpoint
-	// time.
+	// maxReroutes is the maximum number of times in succession that a request is sent to another
+	// node after a refusal without having run. Each refusal costs a round trip between zones but
+	// no endpoint time. Only a hedge may be sent to more nodes, after a delay.
 	maxReroutes = 3
 	// maxHeldBytes limits the total size of the request bodies that a node buffers at one time,
 	// without those that it is still reading. It is a third of the memory of the smallest VM.
--- a/internal/relayer/event.go
+++ b/internal/relayer/event.go
@@ -53,8 +53,8 @@
 
 	// Attempts are the attempts of the caller side. The last one decided the request.
 	Attempts []Attempt
-	// NoRetry is, on the caller side, the reason why no attempt followed the last one. It is
-	// empty if the request was served, or refused without an attempt.
+	// NoRetry is, on the caller side, the last reason why no attempt followed. It is empty if
+	// there was none. A request with one may still be served by an attempt in progress.
 	NoRetry NoRetry
 }
 
@@ -69,7 +69,8 @@
 	RetryFinal NoRetry = "final"
 	// RetryAttemptsUsed means that the route allows no further attempt.
 	RetryAttemptsUsed NoRetry = "attempts-used"
-	// RetryReroutesUsed means that maxReroutes nodes have refused the request.
+	// RetryReroutesUsed means that more than maxReroutes nodes in succession have refused the
+	// request.
 	RetryReroutesUsed NoRetry = "reroutes-used"
 	// RetryDeadline means that too little time is left, or none.
 	RetryDeadline NoRetry = "deadline"
--- a/internal/relayer/hedge_test.go
+++ b/internal/relayer/hedge_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -99,6 +100,8 @@
 			is.Equal(w.Code, http.StatusOK)
 			is.Equal(w.Header().Get("X-Seal"), "seal")
 			is.Equal(len(cancelled), 0)
+			// Without this, the case was not tested.
+			is.True(slices.ContainsFunc(c.events[0].Attempts, func(a Attempt) bool { return a.Unresponsive }))
 		})
 	}
 }
--- a/internal/relayer/retry.go
+++ b/internal/relayer/retry.go
@@ -26,10 +26,10 @@
 	// all nodes that were asked refused it without sending it to their endpoints.
 	allowed bool
 	unused  bool
-	// retry fires when a hedge that was not possible is tried again; delays counts how often
-	// it was scheduled.
-	retry  <-chan time.Time
-	delays int
+	// hedgeDue fires when a hedge that was not possible or was refused is tried again;
+	// hedgeDelays counts how often it was scheduled.
+	hedgeDue    <-chan time.Time
+	hedgeDelays int
 }
 
 // inProgress is an attempt in progress. silent is set once its node is unresponsive.
@@ -71,6 +71,7 @@
 		s.Budget.Request(q.call.Service, q.arrival)
 	}
 	ctx, cancel := context.WithCancel(ctx)
+	// No more attempts than this are in progress at one time.
 	limit := q.route.MaxAttempts + maxReroutes + 1
 	a := &attempts{
 		results:      make(chan result, limit),
@@ -92,9 +93,9 @@
 		if len(a.inProgress) == 0 {
 			return s.finish(ctx, q, a)
 		}
-		if a.onlySilent() && a.retry == nil {
-			a.retry = time.After(s.retryAfter(q) << a.delays)
-			a.delays++
+		if a.onlySilent() && a.hedgeDue == nil {
+			a.hedgeDue = time.After(s.retryAfter(q) << a.hedgeDelays)
+			a.hedgeDelays++
 		}
 		if s.await(ctx, q, a) {
 			return s.finish(ctx, q, a)
@@ -121,7 +122,7 @@
 
 // start begins an attempt. An attempt that can't be hedged runs on the request's own goroutine.
 func (s *CallerSide) start(ctx context.Context, r *http.Request, q *request, a *attempts, c candidate, estimate placer.Estimate) {
-	a.allowed, a.unused, a.retry = false, false, nil
+	a.allowed, a.unused, a.hedgeDue = false, false, nil
 	a.inProgress = append(a.inProgress, inProgress{node: c.peer.ID})
 	q.excluded[c.peer.ID] = true
 	call := q.call
@@ -144,8 +145,8 @@
 			a.allowed = a.allowed || s.mayHedge(ctx, q)
 		}
 		return false
-	case <-a.retry:
-		a.retry = nil
+	case <-a.hedgeDue:
+		a.hedgeDue = nil
 		q.restoreRerouted()
 		a.allowed = a.allowed || a.unused || s.mayHedge(ctx, q)
 		return false
--- a/internal/relayer/view.go
+++ b/internal/relayer/view.go
@@ -40,8 +40,8 @@
 	inFlight map[*inFlightAttempt]bool
 	// reportedUnresponsive is the state last passed to LivenessMonitor.OnChange.
 	reportedUnresponsive bool
-	// failures counts the consecutive failed attempts (see countsAsFailure); failedAt is the time
-	// of the last one.
+	// failures counts the consecutive failed attempts (see countsAsFailure and endAttempt);
+	// failedAt is the time of the last one.
 	failures int
 	failedAt time.Time
 }
