Let a newer member record end the draining that a load report showed

What callers saw: an endpoint whose health check had reported draining, and then its end, got no request any more from nodes that had sent it one in between, until its node restarted. The other endpoints carried its share.

Cause: picker kept the draining mark of a load report until the incarnation of the node changed, since reports may arrive out of order. That incarnation is the start of the node, which a draining endpoint doesn't change. And the node refused requests before it announced the draining, so a request that came in between left a mark that no member record could end.

Evidence, on the code before: TestDrainingEndsWithNewerRecord

picker_test.go:182: not true: used() --- FAIL: TestDrainingEndsWithNewerRecord (0.00s)

which is the endpoint after the record of the end of draining.

Change: the announcer returns the incarnation of the record that announces the draining, the admitter states it in each load report (draining-since), and picker compares it with the incarnation of the record that it has. A report decides only while it names a newer record; from then on the record decides. So an old record doesn't end a newer draining, and a late report doesn't begin an older one again. The node now announces before it refuses, and makes each change under one lock, so that every report with the flag has a number and a record without it is newer. A report without a number holds until the node restarts, as before: that is a shutdown, or a node of an older version. Older versions skip the field.

Ruled out: the incarnation of the sender's record at the time of the report. A refutation between the refusal and the announcement would raise it without the draining flag.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -74,6 +74,8 @@
 	shortTurns int
 	sequence   uint64
 	draining   bool
+	// drainingSince is the argument of Drain.
+	drainingSince uint64
 }
 
 // Ticket holds the slot of one admitted request. Done must be called once; further calls
@@ -203,12 +205,15 @@
 }
 
 // Drain makes the admitter refuse all new requests. Queued short requests still run; queued
-// long ones are refused, because they may have to wait for minutes.
-func (a *Admitter) Drain() {
+// long ones are refused, because they may have to wait for minutes. since is the incarnation
+// of the member record that announced the draining, or zero if it lasts until the node
+// restarts.
+func (a *Admitter) Drain(since uint64) {
 	adaptive := a.adaptiveLimit()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.draining = true
+	a.drainingSince = since
 	limit := a.limit(adaptive)
 	for a.queues[Long].Len() > 0 {
 		w := a.queues[Long].pop()
@@ -224,6 +229,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.draining = false
+	a.drainingSince = 0
 }
 
 // Load returns the endpoint's load. Its Slots is the adaptive limit if that is below the
@@ -250,13 +256,14 @@
 func (a *Admitter) load(limit int) reporter.Load {
 	service, _ := a.estimates[Short].mean()
 	l := reporter.Load{
-		InFlight:    a.inFlight[Short] + a.inFlight[Long],
-		QueuedShort: a.queues[Short].Len(),
-		QueuedLong:  a.queues[Long].Len(),
-		Slots:       limit,
-		ServiceTime: service,
-		Incarnation: a.Incarnation,
-		Draining:    a.draining,
+		InFlight:      a.inFlight[Short] + a.inFlight[Long],
+		QueuedShort:   a.queues[Short].Len(),
+		QueuedLong:    a.queues[Long].Len(),
+		Slots:         limit,
+		ServiceTime:   service,
+		Incarnation:   a.Incarnation,
+		Draining:      a.draining,
+		DrainingSince: a.drainingSince,
 	}
 	if !a.NoClassQueues {
 		l.LongInFlight = a.inFlight[Long]
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -119,7 +119,7 @@
 		},
 		{
 			name:      "draining",
-			configure: func(a *admitter.Admitter) { a.Drain() },
+			configure: func(a *admitter.Admitter) { a.Drain(0) },
 			expected:  refuser.Draining,
 		},
 	}
--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -266,10 +266,12 @@
 	return netip.AddrPort{}, &MemberError{ID: id}
 }
 
-// Drain announces that the local node accepts no new requests.
-func (a *Announcer) Drain() {
-	a.updateLocalMember(func(m *Member) { m.Draining = true })
+// Drain announces that the local node accepts no new requests. It returns the incarnation of
+// the record that says so.
+func (a *Announcer) Drain() uint64 {
+	incarnation := a.updateLocalMember(func(m *Member) { m.Draining = true })
 	a.sendNotices(leaveFanout)
+	return incarnation
 }
 
 // Resume announces that the local node accepts new requests again.
@@ -289,15 +291,17 @@
 	a.deleteLocalRow(ctx)
 }
 
-// updateLocalMember changes the local node's record and increments its incarnation.
-func (a *Announcer) updateLocalMember(change func(m *Member)) {
+// updateLocalMember changes the local node's record and increments its incarnation, which it
+// returns.
+func (a *Announcer) updateLocalMember(change func(m *Member)) uint64 {
 	a.initialize()
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	m := a.localMember()
 	m.Incarnation++
 	change(&m)
 	a.setAndGossip(m)
-	a.mu.Unlock()
+	return m.Incarnation
 }
 
 // sendNotices sends a Notice to random alive members.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -188,7 +188,7 @@
 	s := start(t, broken, broken)
 	var runs atomic.Int64
 	s.nodes[0].side.OnConnectionBroken = func(string) bool { return runs.Add(1) > 0 }
-	s.nodes[1].side.Admitter.Drain()
+	s.nodes[1].side.Admitter.Drain(0)
 	for range 10 {
 		runs.Store(0)
 		got, err := s.do("GET", "/view", nil, nil)
--- a/internal/forwarder/upload_test.go
+++ b/internal/forwarder/upload_test.go
@@ -25,14 +25,14 @@
 		_, _ = fmt.Fprint(w, n)
 	})
 	s := start(t, echo, echo)
-	s.nodes[0].side.Admitter.Drain()
+	s.nodes[0].side.Admitter.Drain(0)
 	const size = 10 << 20
 	for range 10 {
 		got, err := s.do("PUT", "/upload", io.LimitReader(zeros{}, size), nil)
 		is.NoErr(err)
 		is.Equal(got.body, fmt.Sprint(size))
 	}
-	s.nodes[1].side.Admitter.Drain()
+	s.nodes[1].side.Admitter.Drain(0)
 	var read atomic.Int64
 	body := io.TeeReader(io.LimitReader(zeros{}, size), countWriter{n: &read})
 	got, err := s.do("PUT", "/upload", body, func(r *http.Request) {
--- a/internal/picker/health.go
+++ b/internal/picker/health.go
@@ -167,7 +167,7 @@
 // ejected. Draining endpoints take no requests and are left out of both.
 func (g *endpointGroup) countEjected() (members, ejected int) {
 	for _, s := range g.states {
-		if s.endpoint.Draining || s.draining {
+		if s.draining() {
 			continue
 		}
 		members++
@@ -186,7 +186,7 @@
 	for ejected*2 > members {
 		var earliest *endpointState
 		for _, s := range g.states {
-			if s.ejected() && !s.draining && !s.endpoint.Draining && (earliest == nil || s.ejectedUntil.Before(earliest.ejectedUntil)) {
+			if s.ejected() && !s.draining() && (earliest == nil || s.ejectedUntil.Before(earliest.ejectedUntil)) {
 				earliest = s
 			}
 		}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -33,9 +33,14 @@
 	AvailabilityZone string
 	Region           string
 	// Address is where the endpoint's node accepts requests from other nodes.
-	Address     netip.AddrPort
+	Address netip.AddrPort
+	// Incarnation identifies the run of the endpoint's node; it increases with each start.
 	Incarnation uint64
-	Draining    bool
+	// Draining is set if the member record says that the endpoint accepts no new requests.
+	// RecordIncarnation is the incarnation of that record; it increases with each change of
+	// Draining.
+	Draining          bool
+	RecordIncarnation uint64
 }
 
 // Outcome is how an attempt ended.
@@ -306,7 +311,7 @@
 // usable reports whether an endpoint accepts new requests and is not excluded,
 // regardless of ejection.
 func (s *endpointState) usable(r *Request) bool {
-	return !s.endpoint.Draining && !s.draining && (len(r.Excluded) == 0 || !slices.Contains(r.Excluded, s.endpoint.ID))
+	return !s.draining() && (len(r.Excluded) == 0 || !slices.Contains(r.Excluded, s.endpoint.ID))
 }
 
 // Report records the arrival of a response or refusal and the load report that came with
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -133,6 +133,73 @@
 	})
 }
 
+// Guards against an endpoint that gets no requests after the end of its draining, because a
+// report of it came before its member record or later than the record of its end, and against
+// one that gets requests because of a record that is older than the report.
+func TestDrainingEndsWithNewerRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &picker.Picker{}
+		setRecord := func(incarnation uint64, draining bool) {
+			list := endpoints(2, 5)
+			list[0].RecordIncarnation = incarnation
+			list[0].Draining = draining
+			p.SetEndpoints("proofs", list)
+		}
+		drainingReport := func(since uint64) reporter.Load {
+			return reporter.Load{
+				Slots:         12,
+				Incarnation:   5,
+				Draining:      true,
+				DrainingSince: since,
+			}
+		}
+		used := func() bool {
+			a, err := p.Pick(requestExcluding("1"))
+			if err != nil {
+				return false
+			}
+			a.Done(picker.Cancelled)
+			return true
+		}
+		pick := func() *picker.Attempt {
+			a, err := p.Pick(requestExcluding("1"))
+			is.NoErr(err)
+			return a
+		}
+
+		setRecord(5, false)
+		first, late, last := pick(), pick(), pick()
+		first.Report(drainingReport(6))
+		first.Done(picker.Refused)
+		is.True(!used())
+		// The record is older than the report.
+		setRecord(5, false)
+		is.True(!used())
+		setRecord(6, true)
+		is.True(!used())
+		setRecord(7, false)
+		is.True(used())
+		// The report is older than the record.
+		late.Report(drainingReport(6))
+		late.Done(picker.Refused)
+		is.True(used())
+		// The node refuted a suspicion, then the endpoint drains again.
+		setRecord(8, false)
+		last.Report(drainingReport(9))
+		last.Done(picker.Refused)
+		is.True(!used())
+		setRecord(10, false)
+		is.True(used())
+		// The node shuts down: no record ends this draining.
+		stopping := pick()
+		stopping.Report(drainingReport(0))
+		stopping.Done(picker.Refused)
+		setRecord(11, false)
+		is.True(!used())
+	})
+}
+
 // Guards against reports that are ignored because the membership's incarnation rose
 // without a restart, and against a restart that is known from a report only and is
 // undone by an older membership.
--- a/internal/picker/score.go
+++ b/internal/picker/score.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"math"
 	"time"
 
 	"github.com/gentianlever/gentianlever/internal/reporter"
@@ -32,6 +33,8 @@
 	// overdueRatio is the age, in expected latencies, from which a request without a
 	// response raises the estimated service time.
 	overdueRatio = 2
+	// untilRestart exceeds the incarnation of every member record.
+	untilRestart = math.MaxUint64
 )
 
 // endpointState is the load, latency and health of one endpoint as seen by this node.
@@ -55,9 +58,10 @@
 
 	report     reporter.Load
 	reportedAt time.Time
-	// draining stays true until the incarnation changes, because reports may arrive out
-	// of order.
-	draining bool
+	// drainingSince is the highest incarnation of a member record that a report names as
+	// the announcement of draining. Reports may arrive out of order, so it never decreases
+	// while the node runs.
+	drainingSince uint64
 	// remoteLoad is the reported load without the short requests of this node.
 	remoteLoad float64
 	// remoteLongLoad is the reported long load without the long requests of this node.
@@ -86,6 +90,12 @@
 	return s
 }
 
+// draining reports whether the endpoint accepts no new requests. The member record decides
+// unless a report names a record that is newer.
+func (s *endpointState) draining() bool {
+	return s.endpoint.Draining || s.drainingSince > s.endpoint.RecordIncarnation
+}
+
 // add counts an attempt and adds a short one to the list of those without a response.
 func (s *endpointState) add(a *Attempt) {
 	if a.trial {
@@ -140,7 +150,13 @@
 func (s *endpointState) record(g *endpointGroup, l reporter.Load, now time.Time) {
 	s.report = l
 	s.reportedAt = now
-	s.draining = s.draining || l.Draining
+	if l.Draining {
+		since := l.DrainingSince
+		if since == 0 {
+			since = untilRestart
+		}
+		s.drainingSince = max(s.drainingSince, since)
+	}
 	s.remoteLoad = max(0, float64(l.InFlight+l.QueuedShort-s.outstandingShort))
 	if l.Slots > 0 {
 		g.slots = l.Slots
--- a/internal/reporter/load.go
+++ b/internal/reporter/load.go
@@ -36,6 +36,10 @@
 	Incarnation uint64
 	// Draining reports that the endpoint accepts no new requests.
 	Draining bool
+	// DrainingSince is the incarnation of the member record that announced the draining. It
+	// is zero if the draining lasts until the node restarts, and in reports of older
+	// versions.
+	DrainingSince uint64
 	// Slowness is the current duration of requests at the endpoint in percent of the
 	// normal one; zero if the endpoint doesn't report it.
 	Slowness int
@@ -77,6 +81,10 @@
 	}
 	if l.Draining {
 		b = append(b, ";draining"...)
+		if l.DrainingSince > 0 {
+			b = append(b, ";draining-since="...)
+			b = strconv.AppendUint(b, l.DrainingSince, 10)
+		}
 	}
 	return string(b)
 }
@@ -107,6 +115,9 @@
 	if l.LongSlots == 0 {
 		l.LongInFlight = 0
 	}
+	if !l.Draining {
+		l.DrainingSince = 0
+	}
 	return l, nil
 }
 
@@ -116,12 +127,13 @@
 		return nil
 	}
 	switch name {
-	case "in-flight", "queued-short", "queued-long", "slots", "long-in-flight", "long-slots", "service-us", "incarnation", "slowness":
+	case "in-flight", "queued-short", "queued-long", "slots", "long-in-flight", "long-slots", "service-us", "incarnation", "draining-since", "slowness":
 	default:
 		return nil
 	}
 	n, err := strconv.ParseUint(value, 10, 64)
-	if err != nil || (name != "incarnation" && n > maxFieldValue) {
+	isIncarnation := name == "incarnation" || name == "draining-since"
+	if err != nil || (!isIncarnation && n > maxFieldValue) {
 		return &FieldError{
 			Field: name,
 			Value: value,
@@ -146,10 +158,12 @@
 		l.ServiceTime = time.Duration(n) * time.Microsecond
 	case "incarnation":
 		l.Incarnation = n
+	case "draining-since":
+		l.DrainingSince = n
 	}
 	return nil
 }
 
-// maxFieldValue bounds every field except the incarnation. It allows 18 minutes in
+// maxFieldValue bounds every field except the incarnations. It allows 18 minutes in
 // microseconds and any realistic count, and sums of a few fields can't overflow.
 const maxFieldValue = 1 << 30
--- a/internal/reporter/load_test.go
+++ b/internal/reporter/load_test.go
@@ -31,6 +31,8 @@
 // are encoded again.
 func FuzzParse(f *testing.F) {
 	f.Add(Load{InFlight: 3, Slots: 12, Incarnation: 1 << 60, Draining: true}.Encode())
+	f.Add(Load{Slots: 12, Incarnation: 1 << 60, Draining: true, DrainingSince: 1<<60 + 1}.Encode())
+	f.Add("slots=12;draining-since=5")
 	f.Add("in-flight=-1;slots")
 	f.Add("long-in-flight=3;long-slots=0")
 	f.Fuzz(func(t *testing.T, s string) {
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -180,8 +180,9 @@
 			Address:          m.Address,
 			// StartIncarnation changes only when the node restarts; the member's
 			// Incarnation also changes when the node refutes a suspicion.
-			Incarnation: m.StartIncarnation,
-			Draining:    m.Draining,
+			Incarnation:       m.StartIncarnation,
+			Draining:          m.Draining,
+			RecordIncarnation: m.Incarnation,
 		})
 	}
 	for service, endpoints := range services {
--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -37,8 +37,12 @@
 	// connectionBroken signals that a connection to the endpoint broke.
 	connectionBroken chan struct{}
 
-	mu               sync.Mutex // guards the fields below
-	random           *rand.Rand
+	mu     sync.Mutex // guards random
+	random *rand.Rand
+
+	// drainingMu guards the fields below. It is held during a change, so that the admitter
+	// and the announcer make the changes in the same order.
+	drainingMu       sync.Mutex
 	reportedDraining bool // the endpoint last reported that it is draining
 	shuttingDown     bool // the process is shutting down
 }
@@ -245,41 +249,28 @@
 // setEndpointDraining makes the node refuse new requests while its endpoint reports that it is
 // draining, and accept them again afterwards. The node itself keeps running.
 func (n *Runner) setEndpointDraining(draining bool) {
-	n.health.mu.Lock()
-	changed := n.reportedDraining != draining && !n.shuttingDown
-	if changed {
-		n.reportedDraining = draining
-		if draining {
-			n.admitter.Drain()
-		} else {
-			n.admitter.Resume()
-		}
-	}
-	n.health.mu.Unlock()
-	if !changed {
+	n.drainingMu.Lock()
+	defer n.drainingMu.Unlock()
+	if n.reportedDraining == draining || n.shuttingDown {
 		return
 	}
+	n.reportedDraining = draining
 	n.Log.Info("endpoint changed its draining state", "draining", draining)
 	if draining {
-		n.announcer.Drain()
+		// Every load report that shows the draining names the record that announces it, so
+		// that other nodes can tell which of the two is newer.
+		n.admitter.Drain(n.announcer.Drain())
 		return
 	}
+	n.admitter.Resume()
 	n.announcer.Resume()
-	n.health.mu.Lock()
-	again := n.shuttingDown || n.reportedDraining
-	n.health.mu.Unlock()
-	if again {
-		// A shutdown or a new draining report came meanwhile. Its announcement may have
-		// preceded Resume, so it is repeated.
-		n.announcer.Drain()
-	}
 }
 
 // refuseNewRequests makes the node refuse new requests permanently, whatever the endpoint
 // reports later.
 func (n *Runner) refuseNewRequests() {
-	n.health.mu.Lock()
-	defer n.health.mu.Unlock()
+	n.drainingMu.Lock()
+	defer n.drainingMu.Unlock()
 	n.shuttingDown = true
-	n.admitter.Drain()
+	n.admitter.Drain(0)
 }
