Keep the follower's position only within an era of the store

What callers would see: after the store was restored from an older copy, a confirmed change of the routing table is not in effect for up to 30 s. New routes get 404, moved ones go to the old service.

Cause: versions go back and are given out again. A node that waited for changes kept its position. If the versions had passed that position before it asked again, or if its long poll survived the restore, it got no 410 and waited for later versions only, so that what was written at versions up to the position was skipped. The HTTP transport made it more likely: it repeats a GET whose kept connection is lost, so that a cut wait went on silently on the restored store.

A position is valid only within its era. The table is read again after any failed wait, after a wait that ends in a later era or at a lower position, and at once when any other call shows a higher era, which cancels a wait in flight. A response without the header changes nothing.

A failed wait costs one more read.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -142,6 +142,7 @@
 	n.dialect = platform.Dialect()
 	n.store.Address = s.StoreAddress
 	n.store.OnCall = n.storeCallFinished
+	n.store.OnEra = n.follower.HandleEra
 	n.store.Open()
 	n.table = n.store.Table()
 	n.buildExchangers()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -40,7 +40,11 @@
 
 // Snapshot is the encoded routing table at a position of the store's change history.
 type Snapshot struct {
+	// Position is valid only within Era. When the store is restored from an older copy, it
+	// assigns positions again and starts the next era.
 	Position uint64
+	// Era is 0 if the store does not state it.
+	Era uint64
 	// Encoded is empty if there is no table or it has not changed.
 	Encoded []byte
 }
@@ -85,9 +89,12 @@
 	// follows. It may be nil.
 	OnError func(operation string, err error)
 
-	current       atomic.Pointer[Version]
-	mu            sync.Mutex
-	failing       bool
+	current atomic.Pointer[Version]
+	mu      sync.Mutex
+	failing bool
+	// era is the highest era passed to HandleEra, and cancelWait ends the wait in flight.
+	era           uint64
+	cancelWait    context.CancelFunc
 	announcements chan announcement
 	once          sync.Once
 }
@@ -138,27 +145,34 @@
 // the node should not poll and has a table.
 func (f *Follower) followStore(ctx context.Context) {
 	backoff := minBackoff
-	position, known := uint64(0), false
+	var p position
 	for ctx.Err() == nil {
 		if f.Table() != nil && f.ShouldPoll != nil && !f.ShouldPoll() {
-			known = false
+			p.known = false
 			if !sleeper.Sleep(ctx, shouldPollInterval) {
 				return
 			}
 			continue
 		}
-		snapshot, operation, err := f.next(ctx, position, known)
+		era := f.highestEra()
+		p.known = p.known && era <= p.era
+		snapshot, operation, err := f.next(ctx, p)
 		var historyLost *HistoryError
 		switch {
 		case ctx.Err() != nil:
 			return
+		case p.known && f.highestEra() > p.era:
+			// The position of an earlier era says nothing about the changes in this one.
+			p.known = false
 		case errors.As(err, &historyLost):
 			// The table is read again without a backoff, since losing history does not
 			// indicate an outage.
 			f.report(operation, err)
-			known = false
+			p.known = false
 		case err != nil:
 			f.report(operation, err)
+			// The store may have been restored meanwhile.
+			p.known = false
 			if !sleeper.Sleep(ctx, backoff/2+rand.N(backoff)) {
 				return
 			}
@@ -166,18 +180,59 @@
 		default:
 			f.report(operation, nil)
 			backoff = minBackoff
-			position, known = snapshot.Position, true
-			if len(snapshot.Encoded) > 0 {
-				f.Offer(snapshot.Encoded, "store")
-			}
+			p = p.after(snapshot, era)
+		}
+		if err == nil && len(snapshot.Encoded) > 0 {
+			f.Offer(snapshot.Encoded, "store")
 		}
 	}
 }
 
+// position is a position of the store's change history.
+type position struct {
+	number uint64
+	// era is the highest era known for the position.
+	era uint64
+	// known is false if the table must be read.
+	known bool
+}
+
+// after returns the position of a snapshot. It is not known if the snapshot ends a wait during
+// which the store was restored. Era is the highest era known before the call.
+func (p position) after(s Snapshot, era uint64) position {
+	restored := p.known && (s.Era > p.era || s.Position < p.number)
+	return position{
+		number: s.Position,
+		era:    max(s.Era, era),
+		known:  !restored,
+	}
+}
+
+// HandleEra takes note of the store's era as any call or a member states it. A wait that
+// began in an earlier era ends, and the table is read again.
+func (f *Follower) HandleEra(era uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if era <= f.era {
+		return
+	}
+	f.era = era
+	if f.cancelWait != nil {
+		f.cancelWait()
+	}
+}
+
+// highestEra returns the highest era passed to HandleEra.
+func (f *Follower) highestEra() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 // next reads the table, or waits for a change if the position is known. It returns the name
 // of the operation.
-func (f *Follower) next(ctx context.Context, position uint64, known bool) (Snapshot, string, error) {
-	if !known {
+func (f *Follower) next(ctx context.Context, p position) (Snapshot, string, error) {
+	if !p.known {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		snapshot, err := f.Read(ctx)
@@ -185,7 +240,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait+waitGrace)
 	defer cancel()
-	snapshot, err := f.WaitForChange(ctx, position, maxWait)
+	f.mu.Lock()
+	f.cancelWait = cancel
+	if f.era > p.era {
+		cancel()
+	}
+	f.mu.Unlock()
+	snapshot, err := f.WaitForChange(ctx, p.number, maxWait)
+	f.mu.Lock()
+	f.cancelWait = nil
+	f.mu.Unlock()
 	return snapshot, "wait", err
 }
 
