Write rows again after the store was restored

What callers would see: an endpoint whose departure was confirmed gets requests again after its node has restarted (DRAIN), and a node that starts later finds no member.

Cause: a restored store has lost what the nodes wrote since the copy. A node wrote a departure once, and its member's row every five minutes on average; nothing made it write them again.

Change: restorer tracks the store's era. On a higher one a node writes the departures that it knows and its member's row again, in at most two transactions. A random delay spreads the nodes over their number / 100 per second; a node whose own endpoint is departing does not wait. Failed attempts are repeated four times at most. Nodes that don't poll the store learn of the era from members: a node that learns of it notifies random members until eight in succession knew it, and each fetch between nodes states both eras. New events store-restored and rows-rewritten, new metric store-era.

It works because rows have one owner, who has the content in memory, and a repeated or late write of the same content does no harm.

--- a/internal/announcer/rows.go
+++ b/internal/announcer/rows.go
@@ -192,6 +192,13 @@
 	}
 }
 
+// RewriteRow writes the local node's row again unless the node has left, for example because
+// the table was restored from an older copy.
+func (a *Announcer) RewriteRow(ctx context.Context) error {
+	a.initialize()
+	return a.writeRow(ctx)
+}
+
 // writeRow writes the local node's row unless the node has left.
 func (a *Announcer) writeRow(ctx context.Context) error {
 	timeout := tableTimeout
@@ -219,7 +226,7 @@
 		},
 	})
 	a.mu.Lock()
-	a.rowVersion = version
+	a.rowVersion = max(a.rowVersion, version)
 	a.mu.Unlock()
 	return err
 }
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -24,6 +24,7 @@
 	"github.com/gentianlever/gentianlever/internal/registrar"
 	"github.com/gentianlever/gentianlever/internal/relayer"
 	"github.com/gentianlever/gentianlever/internal/reporter"
+	"github.com/gentianlever/gentianlever/internal/restorer"
 	"github.com/gentianlever/gentianlever/internal/router"
 	"github.com/gentianlever/gentianlever/internal/storer"
 	"github.com/gentianlever/gentianlever/internal/validator"
@@ -92,6 +93,7 @@
 	loadExchange      relayer.LoadExchange
 	livenessMonitor   relayer.LivenessMonitor
 	quarantiner       quarantiner.Quarantiner
+	restorer          restorer.Restorer
 	membership
 	departures
 }
@@ -118,6 +120,7 @@
 	p.Go(n.follower.Run)
 	p.Go(n.runMembership)
 	p.Go(n.restoreDepartures)
+	p.Go(n.restorer.Run)
 	p.Go(n.probeWhenDue)
 	p.Go(n.watchSettings)
 	p.Go(n.updateGauges)
@@ -142,7 +145,6 @@
 	n.dialect = platform.Dialect()
 	n.store.Address = s.StoreAddress
 	n.store.OnCall = n.storeCallFinished
-	n.store.OnEra = n.follower.HandleEra
 	n.store.Open()
 	n.table = n.store.Table()
 	n.buildExchangers()
@@ -165,6 +167,7 @@
 	n.buildRequestHandlers()
 	n.buildMembership()
 	n.buildQuarantine()
+	n.buildRestorer()
 }
 
 func (n *Conductor) buildExchangers() {
--- a/internal/conductor/endpoint.go
+++ b/internal/conductor/endpoint.go
@@ -121,23 +121,25 @@
 // already in effect on this node; a failed write matters only if the node restarts before the
 // endpoint exits.
 func (n *Conductor) recordDeparture(d registrar.Departure) {
-	// A struct of strings and numbers always encodes.
-	body, _ := json.Marshal(d)
 	ctx, cancel := context.WithTimeout(context.Background(), departureWriteTimeout)
 	defer cancel()
-	err := n.table.Write(ctx, []storer.Write{
-		{
-			Row: storer.Row{
-				Key: storer.Key{
-					Partition: n.departurePartition(),
-					Sort:      d.ID + "/" + strconv.FormatUint(d.Started, 10),
-				},
-				Body: body,
+	if err := n.table.Write(ctx, []storer.Write{n.departureWrite(d)}); err != nil {
+		n.Log.Warn(recorder.DepartureNotRecorded, "endpoint", d.ID, "error", err.Error())
+	}
+}
+
+// departureWrite returns the write of a departure's row.
+func (n *Conductor) departureWrite(d registrar.Departure) storer.Write {
+	// A struct of strings and numbers always encodes.
+	body, _ := json.Marshal(d)
+	return storer.Write{
+		Row: storer.Row{
+			Key: storer.Key{
+				Partition: n.departurePartition(),
+				Sort:      d.ID + "/" + strconv.FormatUint(d.Started, 10),
 			},
+			Body: body,
 		},
-	})
-	if err != nil {
-		n.Log.Warn(recorder.DepartureNotRecorded, "endpoint", d.ID, "error", err.Error())
 	}
 }
 
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -32,8 +32,11 @@
 	// noPeersDelay is the time after which a node that found no other members becomes ready,
 	// as the first node of a system has to.
 	noPeersDelay = 3 * time.Second
-	// headerFetch is the header of a request for a node's routing table.
-	headerFetch = "Gentianlever-Fetch"
+	// headerFetch is the header of a request for a node's routing table, or only for the era
+	// of the store that it knows. Its values are fetchedTable and fetchedEra.
+	headerFetch  = "Gentianlever-Fetch"
+	fetchedTable = "table"
+	fetchedEra   = "store-era"
 )
 
 // membership holds the node's membership and its connections to other nodes.
@@ -193,29 +196,37 @@
 
 // fetchTable fetches the encoded routing table of a member.
 func (n *Conductor) fetchTable(ctx context.Context, member string) ([]byte, error) {
+	encoded, _, err := n.fetch(ctx, member, fetchedTable)
+	return encoded, err
+}
+
+// fetch fetches one of the things that headerFetch names from a member. Both nodes tell each
+// other the era of the store; fetch returns the one that the member knew before, or 0.
+func (n *Conductor) fetch(ctx context.Context, member, what string) ([]byte, uint64, error) {
 	address, err := n.announcer.Address(member)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/", nil)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	r.Header.Set(headerFetch, "table")
+	r.Header.Set(headerFetch, what)
 	r.Header.Set(relayer.HeaderNodeToken, n.callers.NodeToken)
+	n.setEra(r.Header)
 	resp, err := n.nodeExchanger.Exchange(ctx, r, address)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	encoded, err := io.ReadAll(io.LimitReader(resp.Body, maxTableBytes))
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("fetch of the routing table from member %s: unexpected status %d", member, resp.StatusCode)
+		return nil, 0, errors.Errorf("fetch of %s from member %s: unexpected status %d", what, member, resp.StatusCode)
 	}
-	return encoded, nil
+	return encoded, n.handleMemberEra(resp.Header, member), nil
 }
 
 // maxTableBytes limits the size of a fetched routing table. It is far above the 64 KB that a row
@@ -233,19 +244,25 @@
 		case messenger.IsServiceRequest(r):
 			service.messages.ServeHTTP(w, r)
 		case r.Header.Get(headerFetch) != "":
-			n.serveTable(w, r, service.token)
+			n.serveFetch(w, r, service.token)
 		default:
 			n.endpoint.ServeHTTP(w, r)
 		}
 	})
 }
 
-// serveTable sends the encoded routing table to a member that holds the node token.
-func (n *Conductor) serveTable(w http.ResponseWriter, r *http.Request, token string) {
+// serveFetch serves a fetch by a member that holds the node token.
+func (n *Conductor) serveFetch(w http.ResponseWriter, r *http.Request, token string) {
+	if subtle.ConstantTimeCompare([]byte(r.Header.Get(relayer.HeaderNodeToken)), []byte(token)) != 1 {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	n.setEra(w.Header())
+	n.handleMemberEra(r.Header, r.RemoteAddr)
 	v := n.follower.Current()
 	switch {
-	case subtle.ConstantTimeCompare([]byte(r.Header.Get(relayer.HeaderNodeToken)), []byte(token)) != 1:
-		w.WriteHeader(http.StatusForbidden)
+	case r.Header.Get(headerFetch) == fetchedEra:
+		w.WriteHeader(http.StatusOK)
 	case v == nil:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
--- a/internal/conductor/observe.go
+++ b/internal/conductor/observe.go
@@ -71,6 +71,9 @@
 		n.meter.Set(meter.Waiting, float64(load.QueuedShort))
 		n.meter.Set(meter.Capacity, float64(load.Slots))
 		n.meter.Set(meter.Slowness, float64(load.Slowness))
+		if era, known := n.restorer.Era(); known {
+			n.meter.Set(meter.StoreEra, float64(era))
+		}
 		if v := n.follower.Current(); v != nil {
 			n.meter.Set(meter.TableVersion, float64(v.Table.Version))
 			n.meter.Set(meter.TableAge, time.Since(v.Received).Seconds())
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -37,6 +37,7 @@
 	AddedSeconds     Name = "added-seconds"
 	Attempts         Name = "attempts"
 	StoreCalls       Name = "store-calls"
+	StoreEra         Name = "store-era"
 	Probes           Name = "probes"
 	ReportsRejected  Name = "reports-rejected"
 	LogLinesDropped  Name = "log-lines-dropped"
@@ -105,6 +106,11 @@
 		Labels: []string{"operation", "outcome"},
 		Help:   "calls of the platform's store, by operation and outcome (done, unavailable, unknown)",
 	},
+	{
+		Name: StoreEra,
+		Kind: Gauge,
+		Help: "highest known era of the platform's store, which rises with each restore from an older copy; not served before the first one",
+	},
 	{
 		Name:   Probes,
 		Kind:   Counter,
--- a/internal/recorder/events.go
+++ b/internal/recorder/events.go
@@ -24,6 +24,8 @@
 	TableAvailable       Event = "table-available"
 	StoreCallFailed      Event = "store-call-failed"
 	StoreRegained        Event = "store-regained"
+	StoreRestored        Event = "store-restored"
+	RowsRewritten        Event = "rows-rewritten"
 	EndpointChanged      Event = "endpoint-changed"
 	ReportLate           Event = "report-late"
 	ReportRejected       Event = "report-rejected"
@@ -141,6 +143,16 @@
 		Fields: []string{"operation"},
 		Help:   "a call of the store succeeded after a failed one",
 	},
+	{
+		Name:   StoreRestored,
+		Fields: []string{"before", "era", "source", "version"},
+		Help:   "the store was restored from an older copy: its era, as the store or a member states it, is higher than before; version is the active routing table's",
+	},
+	{
+		Name:   RowsRewritten,
+		Fields: []string{"era", "rows", "error"},
+		Help:   "the node wrote its member's row and the known departures again after a restore of the store; rows counts those that the store confirmed, and error is empty if all were",
+	},
 	{
 		Name:   EndpointChanged,
 		Fields: []string{"endpoint", "started", "sequence", "draining", "left", "slots", "version", "before"},
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -3,8 +3,11 @@
 package registrar
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -194,6 +197,13 @@
 	return d
 }
 
+// Departures returns the remembered departures, sorted by the start to which they apply.
+func (g *Registrar) Departures() []Departure {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.SortedFunc(maps.Values(g.departures), func(a, b Departure) int { return cmp.Compare(a.Started, b.Started) })
+}
+
 // Restore adds departures that were recorded before this process started.
 func (g *Registrar) Restore(departures []Departure) {
 	g.mu.Lock()
