Drop responses with several IDs, and those with one for a health check

A caller could be told "not run, try again" for a request that its endpoint had run or was running, if the endpoint wrote a response with the IDs of an earlier and of the current request. The response of a health check could be a late one of an earlier request, whose load was then recorded as current.

Cause: Matches compared only the first ID of a response, and accepted any response for a request without an ID, which includes health checks.

A response now belongs to a request only if it has exactly the request's ID, or none where the request has none. Any other response is dropped, and the next one on the connection is read.

--- a/internal/relayer/dialect.go
+++ b/internal/relayer/dialect.go
@@ -31,8 +31,8 @@
 	EndpointLoad func(h http.Header) (reporter.EndpointLoad, bool)
 }
 
-// Matches reports whether a response belongs to a request.
+// Matches reports whether a response belongs to a request: it has the request's ID and no other.
+// The response to a request without an ID, such as a health check, has none.
 func (d *Dialect) Matches(r *http.Request, resp *http.Response) bool {
-	id := r.Header.Get(d.RequestID)
-	return id == "" || resp.Header.Get(d.RequestID) == id
+	return len(resp.Header.Values(d.RequestID)) <= 1 && resp.Header.Get(d.RequestID) == r.Header.Get(d.RequestID)
 }
