Take a refusal as "not run" only if no other request can have caused it

A caller could be told "not run, try again" for a request that its endpoint had run or was running, if the endpoint wrote an earlier refusal once more on a kept connection. The request then ran twice.

Cause: the request's ID identifies a response, but one ID may be sent to an endpoint twice, for example for a nested call whose parent request was retried. A copy of the first refusal then matches the second attempt. A request without an ID matches any refusal without one.

The endpoint side now remembers the IDs of the latest 1024 to 2048 requests that its endpoint reported as not run. A second refusal with one of these IDs, or a refusal without any, becomes endpoint-failed with an unknown run: status 502, and no further attempt unless the route is idempotent.

The connections between nodes need no such check: the server of a node writes one response to each request, and a connection is kept only if its last exchange was complete.

--- a/internal/relayer/attribution_test.go
+++ b/internal/relayer/attribution_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -84,6 +85,21 @@
 			next: strings.Replace(refusalOfFirst, "X-Id", "X-Id: r-2\r\nX-Id", 1) + successOfNext,
 			ok:   true,
 		},
+		{
+			name: "of an earlier attempt of the same request",
+			id:   "r-1",
+			next: refusalOfFirst,
+		},
+		{
+			name: "for a request without an ID",
+			id:   "",
+			next: strings.Replace(refusalOfFirst, "X-Id: r-1\r\n", "", 1),
+		},
+		{
+			name: "misdirected, for a request without an ID",
+			id:   "",
+			next: "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
@@ -116,3 +132,14 @@
 	is.Equal(e.arrived.Load(), int64(1))
 	is.Equal(e.Load().Slowness, 300)
 }
+
+// Checks that the memory of refused requests is bounded and that the latest ones are kept.
+func TestRefusedIDsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var s EndpointSide
+	for i := range 5 * maxRefusedIDs {
+		is.True(s.isFirstRefusal(strconv.Itoa(i)))
+		is.True(!s.isFirstRefusal(strconv.Itoa(max(0, i-maxRefusedIDs+1))))
+	}
+	is.True(len(s.refused)+len(s.refusedBefore) <= 2*maxRefusedIDs)
+}
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -90,6 +90,10 @@
 	// misdirected is the ID of the endpoint whose address another one has taken over, as a
 	// response with status 421 showed.
 	misdirected string
+	// refused and refusedBefore hold the IDs of the requests that the endpoint reported as not
+	// run. When refused is full, it replaces refusedBefore.
+	refused       map[string]bool
+	refusedBefore map[string]bool
 }
 
 // Parent is a request running at the local endpoint, with the data that its nested calls use.
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -21,6 +21,9 @@
 // largest response of the known services.
 const maxResponseBytes = 4 << 20
 
+// maxRefusedIDs limits each of the two sets of IDs of requests that the endpoint refused.
+const maxRefusedIDs = 1024
+
 // exchange sends a request that holds a slot to the endpoint and reads the complete response.
 func (s *EndpointSide) exchange(ctx context.Context, c *Call, r *http.Request, content []byte, deadline time.Time, e *Event) (*Response, error) {
 	endpoint := s.Endpoint()
@@ -55,7 +58,7 @@
 	if err != nil {
 		return nil, s.exchangeFailure(ctx, err)
 	}
-	if s.Dialect.NotRun(resp) {
+	if s.Dialect.NotRun(resp) && s.isFirstRefusal(c.ID) {
 		return nil, s.shedRefusal(resp, endpoint)
 	}
 	if problem := s.invalidResponse(resp, b); problem != "" {
@@ -82,6 +85,8 @@
 func (s *EndpointSide) invalidResponse(resp *http.Response, b []byte) string {
 	success := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 	switch {
+	case s.Dialect.NotRun(resp):
+		return "the response states without evidence that the request did not run"
 	case success && !s.Dialect.Signed(resp.Header):
 		return "the response lacks the endpoint's signature"
 	case len(b) > maxResponseBytes:
@@ -92,6 +97,24 @@
 	return ""
 }
 
+// isFirstRefusal reports whether a refusal by the endpoint is the first one for a request ID, and
+// records it. A request may be sent again with its ID, for example as a nested call of a request
+// that was retried. A second refusal may then be a copy of the first, and one without an ID a copy
+// of any other.
+func (s *EndpointSide) isFirstRefusal(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id == "" || s.refused[id] || s.refusedBefore[id] {
+		return false
+	}
+	if s.refused == nil || len(s.refused) >= maxRefusedIDs {
+		s.refusedBefore = s.refused
+		s.refused = make(map[string]bool)
+	}
+	s.refused[id] = true
+	return true
+}
+
 // shedRefusal returns the refusal of a request that the endpoint reports as not run.
 func (s *EndpointSide) shedRefusal(resp *http.Response, endpoint registrar.Endpoint) error {
 	if resp.StatusCode == http.StatusMisdirectedRequest {
