Don't pass on a status that implies "not run" without the statement

Callers take 408, 421, 429 and 503 as the promise that a request did not run and will not run. An endpoint's response with such a status was passed on even if it did not state that the request did not run, so a request that ran could be answered with that promise and be sent again by its caller.

Cause: only the header that states "not run" was interpreted; the status was treated like any other failure.

Such a response now becomes endpoint-failed with an unknown run (status 502), with or without the endpoint's signature.

Before the change: attribution_test.go: not true: refused != nil --- FAIL: TestStatusWithoutNotRunStatementIsNotPassedOn

--- a/internal/relayer/attribution_test.go
+++ b/internal/relayer/attribution_test.go
@@ -133,6 +133,21 @@
 	is.Equal(e.Load().Slowness, 300)
 }
 
+// Guards against a status that tells callers that a request did not run although the endpoint
+// does not state so.
+func TestStatusWithoutNotRunStatementIsNotPassedOn(t *testing.T) {
+	for _, status := range []string{"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"} {
+		for _, signature := range []string{"", "X-Seal: seal\r\n"} {
+			is := is.New(t)
+			e := newScriptedEndpoint(t, "HTTP/1.1 "+status+"\r\n"+signature+"X-Id: r-1\r\nContent-Length: 0\r\n\r\n")
+			_, refused := e.scriptedCall(t, "r-1")
+			is.True(refused != nil)
+			is.Equal(refused.Reason, refuser.EndpointFailed)
+			is.Equal(refused.Row().Ran, refuser.RanUnknown)
+		}
+	}
+}
+
 // Checks that the memory of refused requests is bounded and that the latest ones are kept.
 func TestRefusedIDsAreBounded(t *testing.T) {
 	is := is.New(t)
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -85,8 +85,8 @@
 func (s *EndpointSide) invalidResponse(resp *http.Response, b []byte) string {
 	success := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 	switch {
-	case s.Dialect.NotRun(resp):
-		return "the response states without evidence that the request did not run"
+	case impliesNotRun(resp.StatusCode) || s.Dialect.NotRun(resp):
+		return "the response implies without evidence that the request did not run"
 	case success && !s.Dialect.Signed(resp.Header):
 		return "the response lacks the endpoint's signature"
 	case len(b) > maxResponseBytes:
@@ -97,6 +97,15 @@
 	return ""
 }
 
+// impliesNotRun reports whether callers take a status as a statement that the request did not run.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // isFirstRefusal reports whether a refusal by the endpoint is the first one for a request ID, and
 // records it. A request may be sent again with its ID, for example as a nested call of a request
 // that was retried. A second refusal may then be a copy of the first, and one without an ID a copy
