Reject reports whose numbers block later reports or the scheduler

After one report of another writer, or one departure, with a number too large, a node no longer took reports of its endpoint: an endpoint that said that it leaves went on receiving requests. With slots of 10^18 the node stopped serving.

Cause: reports are ordered by start and sequence, and nothing bounded the two; no report supersedes one with 2^64-1. A departure with such a start applied to all later starts of its ID. Loads with more than 2^30 slots are also rejected by the other nodes.

The registrar now rejects a report with more than 10,000 slots, a sequence above 2^53, a start after 2109, or an ID that is longer than 128 bytes or not printable ASCII, and a departure with such a start or ID, also one read from the store. The response is 400, as for other invalid reports.

Deeply nested reports, ports out of range and fractional starts were rejected before, because encoding/json and netip do so.

--- a/internal/conductor/endpoint.go
+++ b/internal/conductor/endpoint.go
@@ -75,7 +75,7 @@
 	var found []registrar.Departure
 	for _, row := range rows {
 		var d registrar.Departure
-		if err := json.Unmarshal(row.Body, &d); err != nil || d.ID == "" {
+		if err := json.Unmarshal(row.Body, &d); err != nil || d.Validate() != nil {
 			n.Log.Warn(recorder.DepartureUnreadable, "row", row.Key.Sort)
 			continue
 		}
@@ -109,12 +109,16 @@
 
 // handleLeave handles a notice from the endpoint that it departs. It records the departure unless
 // the current endpoint has this ID and has departed already.
-func (n *Conductor) handleLeave(id string, started uint64) {
+func (n *Conductor) handleLeave(id string, started uint64) error {
 	before := n.registrar.Current()
-	d := n.registrar.Leave(id, started)
+	d, err := n.registrar.Leave(id, started)
+	if err != nil {
+		return err
+	}
 	if !(before.ID == id && before.Left) {
 		n.recordDeparture(d)
 	}
+	return nil
 }
 
 // recordDeparture stores a departure, so that it is known after a restart of the node. It is
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 )
@@ -67,6 +68,20 @@
 // limit, all earlier ones are forgotten. A node receives a few a day.
 const maxDepartures = 256
 
+const (
+	// maxIDBytes limits the ID of an endpoint. The ID is part of a row's key and of a header of
+	// each request.
+	maxIDBytes = 128
+	// maxSlots limits the slots of an endpoint. The scheduler's memory and time grow with them.
+	maxSlots = 10_000
+	// maxSequence is the highest integer that JSON writers represent exactly. With a higher
+	// number, no later report could supersede a report.
+	maxSequence = 1 << 53
+	// maxStarted is a time in 2109, in Unix milliseconds. No endpoint could start later than one
+	// with a far higher time.
+	maxStarted = 1 << 42
+)
+
 // Registrar orders the reports of the local endpoint and keeps its state. Set the exported
 // fields before use.
 type Registrar struct {
@@ -125,12 +140,10 @@
 // validate returns a *RejectedError if the report is invalid or not from the local endpoint.
 // Zone, Version and ColdFor are not checked, because no decision depends on them.
 func (g *Registrar) validate(r Report) error {
+	if err := validateRun(r.ID, r.Started); err != nil {
+		return err
+	}
 	switch {
-	case r.ID == "":
-		return &RejectedError{
-			Field:   "id",
-			Problem: "is empty",
-		}
 	case r.Service != g.Service:
 		return &RejectedError{
 			Field:   "service",
@@ -141,10 +154,36 @@
 			Field:   "address",
 			Problem: fmt.Sprintf("%s is not the configured address %s", r.Address, g.Address),
 		}
-	case r.Slots <= 0:
+	case r.Slots <= 0 || r.Slots > maxSlots:
 		return &RejectedError{
 			Field:   "slots",
-			Problem: fmt.Sprintf("%d is not positive", r.Slots),
+			Problem: fmt.Sprintf("%d is not between 1 and %d", r.Slots, maxSlots),
+		}
+	case r.Sequence > maxSequence:
+		return &RejectedError{
+			Field:   "sequence",
+			Problem: fmt.Sprintf("%d is above %d", r.Sequence, uint64(maxSequence)),
+		}
+	}
+	return nil
+}
+
+// Validate returns a *RejectedError if no endpoint can have the ID or the start.
+func (d Departure) Validate() error { return validateRun(d.ID, d.Started) }
+
+// validateRun returns a *RejectedError if no endpoint can have the ID or the start.
+func validateRun(id string, started uint64) error {
+	printable := func(r rune) bool { return r > ' ' && r <= '~' }
+	switch {
+	case id == "" || len(id) > maxIDBytes || strings.ContainsFunc(id, func(r rune) bool { return !printable(r) }):
+		return &RejectedError{
+			Field:   "id",
+			Problem: fmt.Sprintf("is empty, longer than %d bytes or not printable ASCII", maxIDBytes),
+		}
+	case started > maxStarted:
+		return &RejectedError{
+			Field:   "start",
+			Problem: fmt.Sprintf("%d is above %d", started, uint64(maxStarted)),
 		}
 	}
 	return nil
@@ -171,13 +210,16 @@
 
 // Leave records that the endpoint with the given ID has departed, and returns the departure. If
 // started is zero, the departure applies to the current run and to every start until now, even
-// if the node does not know the endpoint yet.
-func (g *Registrar) Leave(id string, started uint64) Departure {
+// if the node does not know the endpoint yet. The error is a *RejectedError.
+func (g *Registrar) Leave(id string, started uint64) (Departure, error) {
 	d := Departure{
 		ID:      id,
 		Started: started,
 		Left:    true,
 	}
+	if err := d.Validate(); err != nil {
+		return d, err
+	}
 	if started == 0 {
 		d.Started = uint64(time.Now().UnixMilli())
 	}
@@ -191,10 +233,10 @@
 	g.endpoint = current
 	g.mu.Unlock()
 	g.notify(old, current)
-	return d
+	return d, nil
 }
 
-// Restore adds departures that were recorded before this process started.
+// Restore adds valid departures that were recorded before this process started.
 func (g *Registrar) Restore(departures []Departure) {
 	g.mu.Lock()
 	old := g.endpoint
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"math"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -109,8 +111,9 @@
 func TestDepartureOfUnknownEndpointHolds(t *testing.T) {
 	is := is.New(t)
 	g := newRegistrar()
-	g.Leave("i-1", 0)
-	_, err := g.Report(report("i-1", uint64(time.Now().Add(-time.Minute).UnixMilli()), 7, false))
+	_, err := g.Leave("i-1", 0)
+	is.NoErr(err)
+	_, err = g.Report(report("i-1", uint64(time.Now().Add(-time.Minute).UnixMilli()), 7, false))
 	is.NoErr(err)
 	is.True(!g.Current().Available())
 	_, err = g.Report(report("i-1", uint64(time.Now().Add(time.Minute).UnixMilli()), 1, false))
@@ -150,3 +153,54 @@
 		is.Equal(g.Current().ID, "")
 	}
 }
+
+// Guards against one report or departure of another writer after which the reports of the endpoint
+// are ignored, or with a number of slots at which the scheduler never ends.
+func TestOddReportDoesNotBlockLaterOnes(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(r *Report)
+	}{
+		{
+			name:   "sequence",
+			change: func(r *Report) { r.Sequence = math.MaxUint64 },
+		},
+		{
+			name:   "start",
+			change: func(r *Report) { r.Started = math.MaxUint64 },
+		},
+		{
+			name:   "slots",
+			change: func(r *Report) { r.Slots = 1e18 },
+		},
+		{
+			name:   "long ID",
+			change: func(r *Report) { r.ID = strings.Repeat("i", 1000) },
+		},
+		{
+			name:   "ID with a line feed",
+			change: func(r *Report) { r.ID = "i-1\nX: y" },
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newRegistrar()
+			odd := report("i-1", 5, 1, false)
+			test.change(&odd)
+			_, err := g.Report(odd)
+			var rejected *RejectedError
+			is.True(errors.As(err, &rejected))
+			accepted, err := g.Report(report("i-1", 5, 2, true))
+			is.NoErr(err)
+			is.True(accepted)
+			is.True(!g.Current().Available())
+		})
+	}
+	is := is.New(t)
+	g := newRegistrar()
+	_, err := g.Leave("i-1", math.MaxUint64)
+	is.True(err != nil)
+	_, err = g.Report(report("i-1", 5, 1, false))
+	is.NoErr(err)
+	is.True(g.Current().Available())
+}
