--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"strings"
 	"time"
@@ -116,6 +117,9 @@
 	return nil
 }
 
+// maxWeight limits the weight of a service, so that the sum of the weights can't overflow.
+const maxWeight = math.MaxInt32
+
 // validate checks a route and sets the defaults of its Target and MaxAttempts.
 func (t *Table) validate(r *Route) error {
 	fail := func(format string, args ...any) error {
@@ -141,8 +145,8 @@
 		if _, ok := t.Services[p.Service]; !ok {
 			return fail("service %q is not in the table", p.Service)
 		}
-		if p.Weight < 0 {
-			return fail("weight %d of service %q is negative", p.Weight, p.Service)
+		if p.Weight < 0 || p.Weight > maxWeight {
+			return fail("weight %d of service %q is not between 0 and %d", p.Weight, p.Service, maxWeight)
 		}
 		total += p.Weight
 	}
