Ignore member records that no later record could supersede

One record of a member as failed, with an incarnation of 2^64-1, removed the member from every node that received it, and the member could not refute it.

Cause: records are ordered by incarnation, and a refutation takes the next higher one, which overflows to zero here. Records without an ID were kept as members.

Records with an incarnation above 2^62, a time in 2116, or without an ID are now ignored, whether they come with a message or a sync. Only nodes send records; both transports authenticate them.

--- a/internal/announcer/gossip.go
+++ b/internal/announcer/gossip.go
@@ -51,8 +51,11 @@
 
 // merge applies a received record if it supersedes the known one, and reports whether
 // it did. A member that is not known is only added if it is present. A record of the
-// local node is refuted instead.
+// local node is refuted instead, and one that no node can have made is ignored.
 func (a *Announcer) merge(m Member) bool {
+	if !m.valid() {
+		return false
+	}
 	if m.ID == a.Self.ID {
 		a.refute(m)
 		return false
--- a/internal/announcer/member.go
+++ b/internal/announcer/member.go
@@ -70,6 +70,15 @@
 	Draining         bool   `json:"draining"`
 }
 
+// maxIncarnation is a time in 2116 in Unix nanoseconds. Nodes start with the current time as
+// their incarnation. A record with a far higher one could not be superseded.
+const maxIncarnation = 1 << 62
+
+// valid reports whether a node can have made the record.
+func (m Member) valid() bool {
+	return m.ID != "" && m.Incarnation <= maxIncarnation
+}
+
 // Present reports whether the member is alive or suspected.
 func (m Member) Present() bool { return m.State <= Suspect }
 
