Limit the time for a response header, and detect garbage at its first byte

Bytes that are no answer and trickle in kept a request waiting until its deadline: its caller got 504 instead of a result by which an idempotent request could be tried elsewhere, and the slot stayed occupied. The same held for a header that goes on, slowly, without end.

Cause: a header was limited to 64 KB but not in time, and a status line was checked only once the header was complete.

A header must now be complete within a second of its first byte from the local endpoint, and within five from another node, whose packets may be lost. Bytes that can't begin an HTTP/1.1 response are rejected at once. The wait for the first byte stays unlimited: an endpoint's silence is no failure.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -43,6 +43,10 @@
 	// callerIdleTimeout exceeds every idle timeout that callers are known to use, so that the
 	// node does not close a connection on which a caller is about to send a request.
 	callerIdleTimeout = 2 * time.Minute
+	// endpointHeaderTimeout is far above the time that an endpoint needs to write a header to a
+	// local connection. nodeHeaderTimeout also allows for lost packets.
+	endpointHeaderTimeout = time.Second
+	nodeHeaderTimeout     = 5 * time.Second
 	// keepAliveInterval is the interval of TCP keep-alive probes. An unresponsive peer is
 	// detected within three intervals.
 	keepAliveInterval = time.Second
@@ -172,8 +176,10 @@
 		e.KeepAliveInterval = keepAliveInterval
 	}
 	n.nodeExchanger.IdleTimeout = nodeIdleTimeout
+	n.nodeExchanger.HeaderTimeout = nodeHeaderTimeout
 	n.nodeExchanger.MaxConnections = connectionsPerNode
 	n.endpointExchanger.IdleTimeout = endpointIdleTimeout
+	n.endpointExchanger.HeaderTimeout = endpointHeaderTimeout
 	n.endpointExchanger.MaxConnections = defaultConnections
 	n.endpointExchanger.AllowCloseDelimited = true
 	n.endpointExchanger.Matches = n.dialect.Matches
--- a/internal/exchanger/connection.go
+++ b/internal/exchanger/connection.go
@@ -18,6 +18,8 @@
 	// bufferBytes is the size of a connection's buffers. It holds the header of nearly
 	// every response; for a larger header the reader is replaced by a larger one.
 	bufferBytes = 4 << 10
+	// protocolPrefix begins every response.
+	protocolPrefix = "HTTP/1."
 	// interimLimit is the number of interim (1xx) responses at which an exchange fails.
 	interimLimit = 8
 )
@@ -107,12 +109,16 @@
 	return c.rawConn.Read(c.peek) == nil && c.noInput
 }
 
-// readResponse reads the header of the final response. interim is called for each
-// "100 Continue". Responses delimited by the end of the connection are refused unless
-// allowCloseDelimited is set.
-func (c *connection) readResponse(r *http.Request, maxHeader int, interim func(), allowCloseDelimited bool) (*http.Response, error) {
+// readResponse reads the header of the final response within the limits of e. interim is
+// called for each "100 Continue". Responses delimited by the end of the connection are
+// refused unless e.AllowCloseDelimited is set.
+func (c *connection) readResponse(r *http.Request, e *Exchanger, interim func()) (*http.Response, error) {
+	maxHeader := e.MaxHeaderBytes
+	if maxHeader <= 0 {
+		maxHeader = defaultHeaderBytes
+	}
 	for range interimLimit {
-		if err := c.bufferHeader(maxHeader); err != nil {
+		if err := c.bufferHeader(maxHeader, e.HeaderTimeout); err != nil {
 			return nil, err
 		}
 		resp, err := http.ReadResponse(c.reader, r)
@@ -123,7 +129,7 @@
 			return nil, &FramingError{Problem: "unexpected status 101 Switching Protocols"}
 		}
 		if resp.StatusCode >= http.StatusOK {
-			if allowCloseDelimited {
+			if e.AllowCloseDelimited {
 				return resp, nil
 			}
 			return resp, checkLength(resp)
@@ -147,11 +153,14 @@
 // bufferHeader reads until a complete header is buffered and checks its lines. The
 // standard parser accepts bare line feeds and a header with both Content-Length and
 // Transfer-Encoding, which two parsers may interpret differently.
-func (c *connection) bufferHeader(maxHeader int) error {
-	line, scanned := 0, 0
+func (c *connection) bufferHeader(maxHeader int, timeout time.Duration) error {
+	line, scanned, limited := 0, 0, false
 	for {
 		buffered := c.reader.Buffered()
 		b, _ := c.reader.Peek(buffered)
+		if n := min(len(b), len(protocolPrefix)); string(b[:n]) != protocolPrefix[:n] {
+			return &FramingError{Problem: "not an HTTP response"}
+		}
 		for scanned < len(b) {
 			i := bytes.IndexByte(b[scanned:], '\n')
 			if i < 0 {
@@ -163,6 +172,11 @@
 				return &FramingError{Problem: "bare line feed in the header"}
 			}
 			if i-1 == line {
+				if limited {
+					if err := c.SetReadDeadline(time.Time{}); err != nil {
+						return err
+					}
+				}
 				return checkHeader(b[:line])
 			}
 			scanned = i + 1
@@ -176,6 +190,12 @@
 			c.enlarged = true
 			line, scanned = 0, 0
 		}
+		if buffered > 0 && !limited && timeout > 0 {
+			limited = true
+			if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+				return err
+			}
+		}
 		if _, err := c.reader.Peek(c.reader.Buffered() + 1); err != nil {
 			if err == io.EOF {
 				err = io.ErrUnexpectedEOF
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -43,6 +43,9 @@
 	ContinueTimeout time.Duration
 	// MaxHeaderBytes bounds the header of a response; zero means 64 KB.
 	MaxHeaderBytes int
+	// HeaderTimeout is the time limit for a response header from its first byte to its
+	// last; zero means none.
+	HeaderTimeout time.Duration
 	// KeepAliveInterval is the idle time after which TCP keep-alive probes are sent, and the time
 	// between probes. A connection fails after two unanswered probes. Zero keeps the default of Go,
 	// with which an unresponsive peer is only detected after minutes.
@@ -144,18 +147,14 @@
 
 // run sends the request and reads the header of the response.
 func (x *exchange) run() (*http.Response, error) {
-	limit := x.e.MaxHeaderBytes
-	if limit <= 0 {
-		limit = defaultHeaderBytes
-	}
 	if x.inline() {
 		if err := x.write(x.r); err != nil {
 			return nil, err
 		}
-		return x.receive(limit, nil)
+		return x.receive(nil)
 	}
 	x.startUpload()
-	resp, err := x.receive(limit, x.upload.proceed)
+	resp, err := x.receive(x.upload.proceed)
 	x.upload.refuse()
 	if bodyErr := x.upload.bodyError.Load(); err != nil && bodyErr != nil {
 		return nil, bodyErr
@@ -165,9 +164,9 @@
 
 // receive reads the response to the request and drops responses to other requests that
 // arrive before it.
-func (x *exchange) receive(limit int, interim func()) (*http.Response, error) {
+func (x *exchange) receive(interim func()) (*http.Response, error) {
 	for range maxResponses {
-		resp, err := x.c.readResponse(x.r, limit, interim, x.e.AllowCloseDelimited)
+		resp, err := x.c.readResponse(x.r, x.e, interim)
 		if err != nil || x.e.Matches == nil || x.e.Matches(x.r, resp) {
 			return resp, err
 		}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -31,8 +31,11 @@
 	// exchangerIdleTimeout must be less than serverIdleTimeout. Otherwise a node could send a
 	// request on a connection that the other node is closing.
 	exchangerIdleTimeout = 30 * time.Second
-	serverIdleTimeout    = 60 * time.Second
-	readHeaderTimeout    = 10 * time.Second
+	// endpointHeaderTimeout is far above the time that an endpoint needs to write a header to a
+	// local connection.
+	endpointHeaderTimeout = time.Second
+	serverIdleTimeout     = 60 * time.Second
+	readHeaderTimeout     = 10 * time.Second
 	// maxHeaderBytes limits the size of a request's header.
 	maxHeaderBytes = 64 << 10
 	// connectionsPerNode limits the connections to each other node. Even with 1,500 nodes, few
@@ -147,6 +150,7 @@
 		e.IdleTimeout = exchangerIdleTimeout
 	}
 	n.nodeExchanger.MaxConnections = connectionsPerNode
+	n.endpointExchanger.HeaderTimeout = endpointHeaderTimeout
 	n.endpointExchanger.MaxConnections = defaultSlots
 	incarnation := uint64(time.Now().UnixNano())
 	n.picker = picker.Picker{
