Limit the bodies that an exchange reads, and those that it drops

An endpoint that writes a response to another request with an endless body kept a request until its deadline (504), its slot occupied, and a processor busy with reading. A body above 4 MiB from another node was passed on as a complete response of 4 MiB and one byte.

Cause: the body of a response to another request was read to its end, without a limit in bytes or time. The caller side read the response of a node up to a limit and took what it had for the whole.

The exchanger now has a limit for bodies, MaxBodyBytes, which the sidecar sets to the 4 MiB that the endpoint side allowed before. Reading beyond it fails, the connection is closed and the exchange counts as failed. The body of a response to another request may be as long and must be complete within a second; one that ends with the connection isn't read, since no response can follow it. A body that belongs to the request and trickles in has until the deadline: it can't be told from a slow one.

Before the change: faults_test.go:188: 504 != 502 --- FAIL: TestEndlessResponsesAreEnded/body_of_another_response endless_test.go: err: context deadline exceeded // the result came before the deadline --- FAIL: TestEndlessResponse/body_of_another_response --- FAIL: TestEndlessResponse/body_of_another_response_with_a_length --- FAIL: TestEndlessResponse/chunks_of_another_response --- FAIL: TestEndlessResponse/slow_body_of_another_response Endless headers, bodies and garbage at full speed from the local endpoint were ended before; the tests keep that so.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -174,6 +174,7 @@
 	for _, e := range []*exchanger.Exchanger{&n.nodeExchanger, &n.endpointExchanger} {
 		e.ConnectTimeout = connectTimeout
 		e.KeepAliveInterval = keepAliveInterval
+		e.MaxBodyBytes = relayer.MaxResponseBytes
 	}
 	n.nodeExchanger.IdleTimeout = nodeIdleTimeout
 	n.nodeExchanger.HeaderTimeout = nodeHeaderTimeout
--- a/internal/exchanger/endless_test.go
+++ b/internal/exchanger/endless_test.go
@@ -60,6 +60,26 @@
 		then:  "X: x\r\n",
 		pause: 20 * time.Millisecond,
 	},
+	{
+		name:  "body",
+		begin: "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n",
+		then:  "xxxxxxxx",
+	},
+	{
+		name:  "body with a length",
+		begin: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9000000000000000000\r\n\r\n",
+		then:  "xxxxxxxx",
+	},
+	{
+		name:  "chunks",
+		begin: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		then:  "8\r\nxxxxxxxx\r\n",
+	},
+	{
+		name:  "chunk",
+		begin: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n7ffffffffffffff0\r\n",
+		then:  "xxxxxxxx",
+	},
 	{
 		name:  "chunk extension",
 		begin: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;",
@@ -74,6 +94,27 @@
 		name: "responses to another request",
 		then: "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 1\r\n\r\nx",
 	},
+	{
+		name:  "body of another response",
+		begin: "HTTP/1.1 200 OK\r\nX-Id: 2\r\n\r\n",
+		then:  "xxxxxxxx",
+	},
+	{
+		name:  "body of another response with a length",
+		begin: "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 9000000000000000000\r\n\r\n",
+		then:  "xxxxxxxx",
+	},
+	{
+		name:  "chunks of another response",
+		begin: "HTTP/1.1 200 OK\r\nX-Id: 2\r\nTransfer-Encoding: chunked\r\n\r\n",
+		then:  "8\r\nxxxxxxxx\r\n",
+	},
+	{
+		name:  "slow body of another response",
+		begin: "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 9000000000000000000\r\n\r\n",
+		then:  "x",
+		pause: 20 * time.Millisecond,
+	},
 }
 
 // Guards against a response without end that keeps its request waiting until the deadline, is read
@@ -90,6 +131,7 @@
 			})
 			e := matchingExchanger()
 			e.HeaderTimeout = 200 * time.Millisecond
+			e.MaxBodyBytes = 1 << 20
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
 			r := request(http.MethodGet, "")
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -23,6 +23,10 @@
 	maxResponses = 4
 	// defaultHeaderBytes is the default of Exchanger.MaxHeaderBytes.
 	defaultHeaderBytes = 64 << 10
+	// defaultDroppedBytes bounds the body of a dropped response if MaxBodyBytes is zero.
+	defaultDroppedBytes = 4 << 20
+	// dropTimeout bounds the time for reading the body of a dropped response.
+	dropTimeout = time.Second
 )
 
 // Exchanger sends requests over connections that it pools by address. Set the exported
@@ -46,6 +50,9 @@
 	// HeaderTimeout is the time limit for a response header from its first byte to its
 	// last; zero means none.
 	HeaderTimeout time.Duration
+	// MaxBodyBytes bounds the body of a response; zero means no bound. Reading beyond it
+	// fails with an *ExchangeError.
+	MaxBodyBytes int64
 	// KeepAliveInterval is the idle time after which TCP keep-alive probes are sent, and the time
 	// between probes. A connection fails after two unanswered probes. Zero keeps the default of Go,
 	// with which an unresponsive peer is only detected after minutes.
@@ -170,16 +177,35 @@
 		if err != nil || x.e.Matches == nil || x.e.Matches(x.r, resp) {
 			return resp, err
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := x.drop(resp); err != nil {
 			return nil, err
 		}
-		if resp.Close {
-			return nil, &FramingError{Problem: "the peer closes the connection after a response to another request"}
-		}
 	}
 	return nil, &FramingError{Problem: "too many responses to other requests"}
 }
 
+// drop reads the body of a response to another request, so that the next response can be read.
+func (x *exchange) drop(resp *http.Response) error {
+	if resp.Close {
+		return &FramingError{Problem: "the peer closes the connection after a response to another request"}
+	}
+	limit := x.e.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultDroppedBytes
+	}
+	if err := x.c.SetReadDeadline(time.Now().Add(dropTimeout)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return err
+	}
+	if n > limit {
+		return &FramingError{Problem: "the body of a response to another request exceeds the size limit"}
+	}
+	return x.c.SetReadDeadline(time.Time{})
+}
+
 // inline reports whether the whole request is written before the response is read, and
 // not on a goroutine of its own.
 func (x *exchange) inline() bool {
@@ -227,6 +253,8 @@
 	// reusable is set unless the request or the response closes the connection.
 	reusable bool
 	done     bool
+	// received counts the bytes read.
+	received int64
 	exchange *exchange
 }
 
@@ -235,6 +263,10 @@
 		return 0, io.EOF
 	}
 	n, err := b.ReadCloser.Read(p)
+	b.received += int64(n)
+	if limit := b.exchange.e.MaxBodyBytes; limit > 0 && b.received > limit {
+		n, err = 0, &FramingError{Problem: "the body exceeds the size limit"}
+	}
 	if err != nil {
 		b.finish(err == io.EOF)
 	}
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -16,10 +16,13 @@
 	"github.com/gentianlever/gentianlever/internal/registrar"
 )
 
-// maxResponseBytes limits the response body of an endpoint. It is buffered completely, so that
+// MaxResponseBytes limits the response body of an endpoint. It is buffered completely, so that
 // a truncated response is never taken for a complete one. The limit is over a hundred times the
 // largest response of the known services.
-const maxResponseBytes = 4 << 20
+const (
+	MaxResponseBytes = 4 << 20
+	maxResponseBytes = MaxResponseBytes
+)
 
 // maxRefusedIDs limits each of the two sets of IDs of requests that the endpoint refused.
 const maxRefusedIDs = 1024
