Don't read a late response as one to a HEAD request

A copy of an earlier response, read while the response to a HEAD request was expected, could yield a response that no endpoint wrote: its body was read as the next response, with whatever status and ID it contains.

Cause: responses to HEAD have no body whatever their header says, so the parser, which only knows the current request, didn't read that of the late response.

If a response to another request arrives where one to HEAD is expected, the exchange now fails and its connection is closed.

Before the change: endless_test.go:173: not true: err != nil --- FAIL: TestLateResponseBeforeHead

--- a/internal/exchanger/endless_test.go
+++ b/internal/exchanger/endless_test.go
@@ -161,3 +161,15 @@
 	}
 	return total
 }
+
+// Guards against the body of a late response that is read as a response of its own, because the
+// current request is a HEAD request, whose response has none.
+func TestLateResponseBeforeHead(t *testing.T) {
+	is := is.New(t)
+	to := scriptedServer(t, false,
+		"HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 47\r\n\r\nHTTP/1.1 503 Late\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n")
+	r := request(http.MethodHead, "")
+	r.Header.Set("X-Id", "1")
+	_, err := read(t.Context(), matchingExchanger(), r, to)
+	is.True(err != nil)
+}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -189,6 +189,10 @@
 	if resp.Close {
 		return &FramingError{Problem: "the peer closes the connection after a response to another request"}
 	}
+	if x.r.Method == http.MethodHead {
+		// The framing of the body depends on the method of the other request.
+		return &FramingError{Problem: "response to another request where one to HEAD is expected"}
+	}
 	limit := x.e.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultDroppedBytes
