Count a health check with an endless response as failed

A health check whose response had a body without end counted as answered, and the load in its header was recorded.

Cause: the body was read up to 4 MiB and the rest was ignored.

A body above 64 KB now makes the check fail, and the connection is closed.

Before the change: endpointside_test.go:389: not true: probeError != nil --- FAIL: TestEndlessHealthResponseIsFailure

--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -24,6 +24,9 @@
 // restarted endpoint soon enough and avoids most of the failed connections until then.
 const unreachableBackoff = 200 * time.Millisecond
 
+// maxHealthBytes limits the body of the response to a health check.
+const maxHealthBytes = 64 << 10
+
 // defaultStartProbeLimit is a tenth of the shortest time within which an answer of the known
 // services has its full worth (router.Route.Target). An endpoint responds to a probe within a
 // millisecond or two.
@@ -438,9 +441,13 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBytes+1))
+	if err != nil {
 		return err
 	}
+	if n > maxHealthBytes {
+		return &exchanger.FramingError{Problem: "the body exceeds the size limit"}
+	}
 	reported := s.recordLoad(resp.Header)
 	s.mu.Lock()
 	s.loadMissing = !reported
--- a/internal/relayer/endpointside_test.go
+++ b/internal/relayer/endpointside_test.go
@@ -373,3 +373,19 @@
 	response, _ := e.call(t.Context(), testCall())
 	is.Equal(response.Status, http.StatusOK)
 }
+
+// Guards against a health check whose response has no end and counts as a success.
+func TestEndlessHealthResponseIsFailure(t *testing.T) {
+	is := is.New(t)
+	e := newTestEndpoint(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Slowness", "700")
+		for err := error(nil); err == nil; {
+			_, err = w.Write(make([]byte, 1000))
+		}
+	})
+	var probeError error
+	e.OnProbe = func(err error) { probeError = err }
+	e.Probe(t.Context(), "/health")
+	is.True(probeError != nil)
+	is.Equal(e.Load().Slowness, reporter.NormalSlowness)
+}
