Skip rows of documents and changes that can't be decoded

One odd row among the documents or the changes kept every node from applying any later change.

Cause: the catch-up ended with the first row that couldn't be decoded, and began anew with the next read.

Such a row is now reported through OnRejected, which the node logs. A row among the documents is skipped; for one among the changes the current changes of all services are read instead, so none is missed. A restored table whose odd row belongs to a service that a node knows still can't be repaired.

--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -113,7 +113,8 @@
 	// nil.
 	OnBehind func(revision uint64)
 	// OnRejected is called for a change in the table whose document is invalid on this
-	// node. It may be nil.
+	// node, and for a row that can't be decoded, with its sort key as the service. It may
+	// be nil.
 	OnRejected func(c Change, err error)
 
 	// DisableVersionCheck turns off the version check that prevents a lower version from
--- a/internal/distributor/rows.go
+++ b/internal/distributor/rows.go
@@ -165,13 +165,21 @@
 	}
 }
 
-// readServices returns the rows of all services.
+// rejectRow reports a row that can't be decoded, under its sort key.
+func (d *Distributor) rejectRow(r storer.Row, err error) {
+	if d.OnRejected != nil {
+		d.OnRejected(Change{Service: r.Key.Sort}, err)
+	}
+}
+
+// readServices returns the rows of all services, without those that can't be decoded.
 func (d *Distributor) readServices(ctx context.Context) ([]serviceRow, error) {
 	var services []serviceRow
 	err := d.forEachRow(ctx, servicesPartition, "", func(r storer.Row) error {
 		var s serviceRow
 		if err := json.Unmarshal(r.Body, &s); err != nil {
-			return err
+			d.rejectRow(r, err)
+			return nil
 		}
 		services = append(services, s)
 		return nil
--- a/internal/distributor/sync.go
+++ b/internal/distributor/sync.go
@@ -141,23 +141,15 @@
 		return nil
 	}
 	if local == 0 || head-local > maxCatchUpChanges {
-		services, err := d.readServices(ctx)
-		if err != nil {
-			return err
-		}
-		changes := make([]parsedChange, 0, len(services))
-		for _, s := range services {
-			changes = append(changes, parseChange(s.Change))
-		}
-		d.applyChanges(changes, head)
-		return nil
+		return d.catchUpServices(ctx, head)
 	}
 	// The change at this node's revision is read too, to detect another one in its place.
 	var changes []parsedChange
 	err := d.forEachRow(ctx, changesPartition, changeKey(local-1).Sort, func(r storer.Row) error {
 		var c Change
 		if err := json.Unmarshal(r.Body, &c); err != nil {
-			return err
+			d.rejectRow(r, err)
+			return errUnreadable
 		}
 		if c.Revision == local && localEdit != "" && c.EditID != localEdit {
 			return errDiverged
@@ -165,6 +157,9 @@
 		changes = append(changes, parseChange(c))
 		return nil
 	})
+	if errors.Is(err, errUnreadable) {
+		return d.catchUpServices(ctx, head)
+	}
 	if err != nil {
 		return err
 	}
@@ -172,6 +167,24 @@
 	return nil
 }
 
+// errUnreadable means that the row of a change can't be decoded.
+var errUnreadable = errors.New("a change can't be decoded")
+
+// catchUpServices reads and applies the current changes of all services up to the table's head
+// revision.
+func (d *Distributor) catchUpServices(ctx context.Context, head uint64) error {
+	services, err := d.readServices(ctx)
+	if err != nil {
+		return err
+	}
+	changes := make([]parsedChange, 0, len(services))
+	for _, s := range services {
+		changes = append(changes, parseChange(s.Change))
+	}
+	d.applyChanges(changes, head)
+	return nil
+}
+
 // fetchLoop fetches changes that other nodes announced.
 func (d *Distributor) fetchLoop(ctx context.Context) {
 	for {
