--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -23,6 +23,10 @@
 	maxResponses = 4
 	// defaultHeaderBytes is the default of Exchanger.MaxHeaderBytes.
 	defaultHeaderBytes = 64 << 10
+	// defaultDroppedBytes bounds the body of a dropped response if MaxBodyBytes is zero.
+	defaultDroppedBytes = 4 << 20
+	// dropTimeout bounds the time for reading the body of a dropped response.
+	dropTimeout = time.Second
 )
 
 // Exchanger sends requests over connections that it pools by address. Set the exported
@@ -43,6 +47,12 @@
 	ContinueTimeout time.Duration
 	// MaxHeaderBytes bounds the header of a response; zero means 64 KB.
 	MaxHeaderBytes int
+	// HeaderTimeout is the time limit for a response header from its first byte to its
+	// last; zero means none.
+	HeaderTimeout time.Duration
+	// MaxBodyBytes bounds the body of a response; zero means no bound. Reading beyond it
+	// fails with an *ExchangeError.
+	MaxBodyBytes int64
 	// KeepAliveInterval is the idle time after which TCP keep-alive probes are sent, and the time
 	// between probes. A connection fails after two unanswered probes. Zero keeps the default of Go,
 	// with which an unresponsive peer is only detected after minutes.
@@ -144,18 +154,14 @@
 
 // run sends the request and reads the header of the response.
 func (x *exchange) run() (*http.Response, error) {
-	limit := x.e.MaxHeaderBytes
-	if limit <= 0 {
-		limit = defaultHeaderBytes
-	}
 	if x.inline() {
 		if err := x.write(x.r); err != nil {
 			return nil, err
 		}
-		return x.receive(limit, nil)
+		return x.receive(nil)
 	}
 	x.startUpload()
-	resp, err := x.receive(limit, x.upload.proceed)
+	resp, err := x.receive(x.upload.proceed)
 	x.upload.refuse()
 	if bodyErr := x.upload.bodyError.Load(); err != nil && bodyErr != nil {
 		return nil, bodyErr
@@ -165,22 +171,45 @@
 
 // receive reads the response to the request and drops responses to other requests that
 // arrive before it.
-func (x *exchange) receive(limit int, interim func()) (*http.Response, error) {
+func (x *exchange) receive(interim func()) (*http.Response, error) {
 	for range maxResponses {
-		resp, err := x.c.readResponse(x.r, limit, interim, x.e.AllowCloseDelimited)
+		resp, err := x.c.readResponse(x.r, x.e, interim)
 		if err != nil || x.e.Matches == nil || x.e.Matches(x.r, resp) {
 			return resp, err
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := x.drop(resp); err != nil {
 			return nil, err
 		}
-		if resp.Close {
-			return nil, &FramingError{Problem: "the peer closes the connection after a response to another request"}
-		}
 	}
 	return nil, &FramingError{Problem: "too many responses to other requests"}
 }
 
+// drop reads the body of a response to another request, so that the next response can be read.
+func (x *exchange) drop(resp *http.Response) error {
+	if resp.Close {
+		return &FramingError{Problem: "the peer closes the connection after a response to another request"}
+	}
+	if x.r.Method == http.MethodHead {
+		// The framing of the body depends on the method of the other request.
+		return &FramingError{Problem: "response to another request where one to HEAD is expected"}
+	}
+	limit := x.e.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultDroppedBytes
+	}
+	if err := x.c.SetReadDeadline(time.Now().Add(dropTimeout)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return err
+	}
+	if n > limit {
+		return &FramingError{Problem: "the body of a response to another request exceeds the size limit"}
+	}
+	return x.c.SetReadDeadline(time.Time{})
+}
+
 // inline reports whether the whole request is written before the response is read, and
 // not on a goroutine of its own.
 func (x *exchange) inline() bool {
@@ -228,6 +257,8 @@
 	// reusable is set unless the request or the response closes the connection.
 	reusable bool
 	done     bool
+	// received counts the bytes read.
+	received int64
 	exchange *exchange
 }
 
@@ -236,6 +267,10 @@
 		return 0, io.EOF
 	}
 	n, err := b.ReadCloser.Read(p)
+	b.received += int64(n)
+	if limit := b.exchange.e.MaxBodyBytes; limit > 0 && b.received > limit {
+		n, err = 0, &FramingError{Problem: "the body exceeds the size limit"}
+	}
 	if err != nil {
 		b.finish(err == io.EOF)
 	}
