Don't use a connection to the endpoint again after it refused a request

What callers would see: a request that ran is refused as not run, if the endpoint writes an earlier refusal once more on a kept connection; a sign-off would then run at a second endpoint.

Cause: on the product's own interface responses carry no ID, so the exchanger takes the next one on a connection for that to the current request.

Change: Exchanger.KeepAfter decides whether a connection may be used again after a response; the node's endpoint side does not keep one on which the endpoint shed a request.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -64,6 +64,9 @@
 	// such as a late second response to an earlier request, is read and dropped. Where
 	// Matches is nil, every response is accepted.
 	Matches func(r *http.Request, resp *http.Response) bool
+	// KeepAfter reports whether a connection may be used again after a response. Where it is
+	// nil, every connection may be, unless the request or the response closes it.
+	KeepAfter func(resp *http.Response) bool
 
 	mu        sync.Mutex
 	addresses map[netip.AddrPort]*addressState
@@ -118,7 +121,7 @@
 		ReadCloser: resp.Body,
 		ctx:        ctx,
 		stop:       stop,
-		reusable:   !resp.Close && !r.Close,
+		reusable:   !resp.Close && !r.Close && (e.KeepAfter == nil || e.KeepAfter(resp)),
 		exchange:   x,
 	}
 	if resp.Body == http.NoBody {
--- a/internal/forwarder/endpointside.go
+++ b/internal/forwarder/endpointside.go
@@ -296,6 +296,14 @@
 	return resp, nil
 }
 
+// KeepAfter reports whether a connection to the endpoint may be used again after a response. It may
+// not after a refusal: responses have no ID, so one that the endpoint writes once more would be taken
+// for that to the next request.
+func (s *EndpointSide) KeepAfter(resp *http.Response) bool {
+	d, ok := s.Document(s.Service, "")
+	return !ok || !slices.Contains(d.ShedStatuses, resp.StatusCode)
+}
+
 // shedRefusal returns the refusal for a response that says that the endpoint shed the
 // request without running it. Retry-After in seconds becomes the retry delay.
 func shedRefusal(resp *http.Response) error {
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -83,6 +83,7 @@
 			Exchanger: newExchanger(),
 			Counters:  &s.counters,
 		}
+		side.Exchanger.KeepAfter = side.KeepAfter
 		server := httptest.NewServer(side)
 		t.Cleanup(server.Close)
 		s.nodes = append(s.nodes, &fakeNode{
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -209,6 +209,7 @@
 		Claim:            n.claim,
 		CloseConnections: n.drainer.Draining,
 	}
+	n.endpointExchanger.KeepAfter = endpointSide.KeepAfter
 	n.setEndpointCallbacks(endpointSide)
 	callerSide := n.callerSide(endpointSide)
 	// shutDown relies on this order.
