Keep a refusal as not run that comes at the deadline

What callers saw: 504 in place of 503 for a request whose deadline passed while it was queued at an endpoint, so that they weren't told that it did not run.

Cause: the end of the deadline took precedence over the refusal of the last attempt.

Evidence: TestRefusalAtTheDeadlineStaysNotRun, before: 504 != 503.

Change: the end of the deadline decides only if no attempt has returned a result.

Measured: the test passes; the tests of the package pass.

--- a/internal/relayer/callerside_test.go
+++ b/internal/relayer/callerside_test.go
@@ -372,3 +372,16 @@
 		})
 	}
 }
+
+// Guards against replacing a refusal as not run by a timeout, when the deadline passes while the
+// request is queued at an endpoint.
+func TestRefusalAtTheDeadlineStaysNotRun(t *testing.T) {
+	is := is.New(t)
+	c := newTestCaller(t, router.AtMostOnce, outcome{})
+	c.RunLocal = func(ctx context.Context, _ *Call, _ *http.Request, _ func() ([]byte, error)) (*Response, error) {
+		<-ctx.Done()
+		return nil, refused(refuser.DeadlineExceeded, refuser.NotRun, false)
+	}
+	is.Equal(c.send(http.MethodPost, "/view/1", "mark").Code, http.StatusServiceUnavailable)
+	is.Equal(c.events[0].Refused.Reason, refuser.DeadlineExceeded)
+}
--- a/internal/relayer/retry.go
+++ b/internal/relayer/retry.go
@@ -91,27 +91,28 @@
 			}
 		}
 		if len(a.inProgress) == 0 {
-			return s.finish(ctx, q, a)
+			if err := contextRefusal(ctx); err != nil && a.served == nil {
+				return nil, err
+			}
+			return q.finish(a)
 		}
 		if a.onlySilent() && a.hedgeDue == nil {
 			a.hedgeDue = time.After(s.retryAfter(q) << a.hedgeDelays)
 			a.hedgeDelays++
 		}
 		if s.await(ctx, q, a) {
-			return s.finish(ctx, q, a)
+			return q.finish(a)
 		}
 	}
 }
 
-// finish returns the final response, or the refusal if there is none.
-func (s *CallerSide) finish(ctx context.Context, q *request, a *attempts) (*Response, error) {
-	switch err := contextRefusal(ctx); {
-	case a.served != nil:
+// finish returns the final response, or the last refusal if there is none.
+func (q *request) finish(a *attempts) (*Response, error) {
+	if a.served != nil {
 		q.recordLast(a.served)
 		return a.served.response, nil
-	case err != nil:
-		return nil, err
-	case q.lastRefusal != nil:
+	}
+	if q.lastRefusal != nil {
 		return nil, q.lastRefusal
 	}
 	return nil, &refuser.Refusal{
