Return the reason against another attempt instead of steering by the log field

The decisions on retries and hedges read the reason back from the event that is logged. They now return it, and only the request's state is read.

--- a/internal/relayer/retry.go
+++ b/internal/relayer/retry.go
@@ -23,9 +23,11 @@
 	// is served.
 	served *result
 	// allowed is set if another attempt may be made now. unused is set if one was allowed, and
-	// all nodes that were asked refused it without sending it to their endpoints.
+	// all nodes that were asked refused it without sending it to their endpoints. final is set
+	// after a refusal that applies to all endpoints.
 	allowed bool
 	unused  bool
+	final   bool
 	// hedgeDue fires when a hedge that was not possible or was refused is tried again;
 	// hedgeDelays counts how often it was scheduled.
 	hedgeDue    <-chan time.Time
@@ -143,13 +145,13 @@
 	case node := <-a.unresponsive:
 		a.markSilent(node)
 		if a.onlySilent() && len(a.results) == 0 {
-			a.allowed = a.allowed || s.mayHedge(ctx, q)
+			s.allowHedge(ctx, q, a)
 		}
 		return false
 	case <-a.hedgeDue:
 		a.hedgeDue = nil
 		q.restoreRerouted()
-		a.allowed = a.allowed || a.unused || s.mayHedge(ctx, q)
+		s.allowHedge(ctx, q, a)
 		return false
 	case r := <-a.results:
 		return s.handleResult(ctx, q, a, r)
@@ -174,15 +176,15 @@
 		// A responsive node is still at work on the request.
 		return false
 	}
-	a.allowed = s.mayFollow(ctx, q, r)
-	a.unused = !a.allowed && q.event.NoRetry == RetryReroutesUsed
-	switch {
-	case a.allowed:
+	denied := s.denyFollowing(ctx, q, r)
+	if denied == "" {
+		a.allowed = true
 		return false
-	case a.served != nil:
-		return true
 	}
-	return len(a.inProgress) == 0
+	q.event.NoRetry = denied
+	a.unused = denied == RetryReroutesUsed
+	a.final = denied == RetryFinal
+	return a.served != nil || len(a.inProgress) == 0
 }
 
 // recordRefusal records the refusal of an attempt in q.
@@ -225,64 +227,56 @@
 	}
 }
 
-// mayFollow reports whether another attempt may follow the one that ended with r and was not
-// served. Otherwise it sets q.event.NoRetry.
-func (s *CallerSide) mayFollow(ctx context.Context, q *request, r result) bool {
+// denyFollowing returns the reason why no attempt may follow the one that ended with r and was not
+// served, or "" if one may.
+func (s *CallerSide) denyFollowing(ctx context.Context, q *request, r result) NoRetry {
 	mayHaveRun := r.refused == nil || r.refused.Row().Ran != refuser.NotRun
 	switch {
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		q.event.NoRetry = RetryDeadline
-		return false
+		return RetryDeadline
 	case ctx.Err() != nil:
-		q.event.NoRetry = RetryCancelled
-		return false
+		return RetryCancelled
 	case r.refused != nil && r.refused.Row().Retry == refuser.RetryNever:
-		q.event.NoRetry = RetryFinal
-		return false
+		return RetryFinal
 	case mayHaveRun || r.refused.Arrived:
-		if !s.mayRetry(ctx, q, mayHaveRun) {
-			return false
-		}
-		q.call.Attempt++
-		return true
+		return s.denyRetry(ctx, q, mayHaveRun)
 	case len(q.rerouted) > maxReroutes:
-		q.event.NoRetry = RetryReroutesUsed
-		return false
+		return RetryReroutesUsed
 	}
-	return true
+	return ""
 }
 
-// mayHedge reports whether a hedge of the attempts at unresponsive nodes may be made, and takes a
-// retry from the budget if so.
-func (s *CallerSide) mayHedge(ctx context.Context, q *request) bool {
-	if q.event.NoRetry == RetryFinal {
-		return false
-	}
-	if len(s.View.candidates(q.call.Service, q.excluded, time.Now())) == 0 {
+// allowHedge sets a.allowed if a hedge of the attempts at unresponsive nodes may be made, and takes
+// a retry from the budget if none is allowed or unused.
+func (s *CallerSide) allowHedge(ctx context.Context, q *request, a *attempts) {
+	switch {
+	case a.allowed || a.final:
+	case a.unused:
+		a.allowed = true
+	case len(s.View.candidates(q.call.Service, q.excluded, time.Now())) == 0:
 		q.event.NoRetry = RetryNoEndpoint
-		return false
-	}
-	if !s.mayRetry(ctx, q, true) {
-		return false
+	default:
+		denied := s.denyRetry(ctx, q, true)
+		a.allowed = denied == ""
+		if !a.allowed {
+			q.event.NoRetry = denied
+		}
 	}
-	q.call.Attempt++
-	return true
 }
 
-// mayRetry reports whether a request that may have reached an endpoint may be sent to another one,
-// and takes a retry from the budget if so. Otherwise it sets q.event.NoRetry.
-func (s *CallerSide) mayRetry(ctx context.Context, q *request, mayHaveRun bool) bool {
+// denyRetry returns the reason why a request that may have reached an endpoint may not be sent to
+// another one. If it may, denyRetry takes a retry from the budget, counts the attempt and returns "".
+func (s *CallerSide) denyRetry(ctx context.Context, q *request, mayHaveRun bool) NoRetry {
 	switch {
 	case mayHaveRun && q.route.Kind != router.Idempotent:
-		q.event.NoRetry = RetryNotRepeatable
+		return RetryNotRepeatable
 	case ctx.Err() != nil || time.Now().Add(fromMicros(q.call.DefaultServiceTime)).After(q.deadline):
-		q.event.NoRetry = RetryDeadline
+		return RetryDeadline
 	case q.call.Attempt >= q.route.MaxAttempts:
-		q.event.NoRetry = RetryAttemptsUsed
+		return RetryAttemptsUsed
 	case !s.Budget.TryRetry(q.call.Service, q.call.Nested, time.Now()):
-		q.event.NoRetry = RetryBudgetUsed
-	default:
-		return true
+		return RetryBudgetUsed
 	}
-	return false
+	q.call.Attempt++
+	return ""
 }
