Log ran=unknown for a request that an earlier attempt may have run

What operators saw: "ran":"no" beside the status 502, because the line took the refusal of the last attempt only. The status was right.

--- a/internal/conductor/observe.go
+++ b/internal/conductor/observe.go
@@ -12,6 +12,7 @@
 
 	"github.com/gentianlever/gentianlever/internal/meter"
 	"github.com/gentianlever/gentianlever/internal/recorder"
+	"github.com/gentianlever/gentianlever/internal/refuser"
 	"github.com/gentianlever/gentianlever/internal/relayer"
 	"github.com/gentianlever/gentianlever/internal/scheduler"
 	"github.com/gentianlever/gentianlever/internal/sleeper"
@@ -123,7 +124,11 @@
 		slog.Bool("nested", c.Nested),
 	}
 	if e.Refused != nil {
-		attrs = append(attrs, slog.String("ran", string(e.Refused.Row().Ran)), slog.String("detail", e.Refused.Detail))
+		ran := e.Refused.Row().Ran
+		if e.MayHaveRun {
+			ran = refuser.RanUnknown
+		}
+		attrs = append(attrs, slog.String("ran", string(ran)), slog.String("detail", e.Refused.Detail))
 	}
 	attrs = append(attrs, slog.String("outcome", outcomeOf(e)), slog.Int("status", e.Status),
 		slog.String("endpoint", e.Endpoint), slog.Duration("served", e.Duration))
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -161,6 +161,7 @@
 		row.Ran = refuser.RanUnknown
 	}
 	q.event.Refused = refused
+	q.event.MayHaveRun = q.mayHaveRun
 	q.event.Duration = time.Since(q.arrival)
 	s.OnEvent(q.event)
 	status := finalStatus(row)
--- a/internal/relayer/callerside_test.go
+++ b/internal/relayer/callerside_test.go
@@ -288,6 +288,7 @@
 			}
 			is.Equal(c.send(http.MethodPost, "/view/1", "mark").Code, test.want)
 			is.Equal(c.attempts, test.attempts)
+			is.Equal(c.events[0].MayHaveRun, test.want == http.StatusBadGateway)
 		})
 	}
 }
--- a/internal/relayer/event.go
+++ b/internal/relayer/event.go
@@ -27,6 +27,9 @@
 	Status int
 	// Refused is set if a node refused the request instead of passing on a response.
 	Refused *RefusedError
+	// MayHaveRun is set on the caller side if any attempt ended without certainty that the
+	// request did not run, whatever Refused says of the last one.
+	MayHaveRun bool
 
 	// Endpoint is, on the endpoint side, the ID of the endpoint to which the request was to be
 	// sent. On the caller side it is the ID of the endpoint that responded, if that is the local
