--- a/internal/relayer/retry.go
+++ b/internal/relayer/retry.go
@@ -34,10 +34,10 @@
 	hedgeDelays int
 }
 
-// inProgress is an attempt in progress. silent is set once its node is unresponsive.
+// inProgress is an attempt in progress. unresponsive is set once its node counts as such.
 type inProgress struct {
-	node   string
-	silent bool
+	node         string
+	unresponsive bool
 }
 
 // result is the result of one attempt. Either response or refused is set.
@@ -48,17 +48,17 @@
 	refused  *RefusedError
 }
 
-// onlySilent reports whether attempts are in progress, and all of them at unresponsive nodes.
-func (a *attempts) onlySilent() bool {
-	responsive := func(p inProgress) bool { return !p.silent }
+// onlyUnresponsive reports whether attempts are in progress, and all of them at unresponsive nodes.
+func (a *attempts) onlyUnresponsive() bool {
+	responsive := func(p inProgress) bool { return !p.unresponsive }
 	return len(a.inProgress) > 0 && !slices.ContainsFunc(a.inProgress, responsive)
 }
 
-// markSilent marks the attempt at a node that has become unresponsive.
-func (a *attempts) markSilent(node string) {
+// markUnresponsive marks the attempt at a node that has become unresponsive.
+func (a *attempts) markUnresponsive(node string) {
 	for i := range a.inProgress {
 		if a.inProgress[i].node == node {
-			a.inProgress[i].silent = true
+			a.inProgress[i].unresponsive = true
 		}
 	}
 }
@@ -98,7 +98,7 @@
 			}
 			return q.finish(a)
 		}
-		if a.onlySilent() && a.hedgeDue == nil {
+		if a.onlyUnresponsive() && a.hedgeDue == nil {
 			a.hedgeDue = time.After(s.retryAfter(q) << a.hedgeDelays)
 			a.hedgeDelays++
 		}
@@ -143,8 +143,8 @@
 func (s *CallerSide) await(ctx context.Context, q *request, a *attempts) bool {
 	select {
 	case node := <-a.unresponsive:
-		a.markSilent(node)
-		if a.onlySilent() && len(a.results) == 0 {
+		a.markUnresponsive(node)
+		if a.onlyUnresponsive() && len(a.results) == 0 {
 			s.allowHedge(ctx, q, a)
 		}
 		return false
@@ -172,7 +172,7 @@
 	} else {
 		q.recordRefusal(r)
 	}
-	if len(a.inProgress) > 0 && !a.onlySilent() {
+	if len(a.inProgress) > 0 && !a.onlyUnresponsive() {
 		// A responsive node is still at work on the request.
 		return false
 	}
