--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -160,6 +160,8 @@
 	n.follower.Fetch = n.fetchTable
 	n.follower.Decode = platform.DecodeTable
 	n.follower.ShouldPoll = n.pollsStore
+	n.follower.OnAnnounced = n.tableAnnounced
+	n.follower.OnTransfer = n.tableTransferred
 	n.follower.OnApplied = n.tableApplied
 	n.follower.OnError = n.tableAvailabilityChanged
 	n.budget = budgeter.Budgeter{
@@ -289,6 +291,21 @@
 	n.announceTable(v.Table.Version)
 }
 
+// tableAnnounced logs that a version was announced for the first time.
+func (n *Conductor) tableAnnounced(member string, version uint64) {
+	n.Log.Info(recorder.TableAnnounced, "member", member, "version", version, "current", n.follower.Version())
+}
+
+// tableTransferred logs a transfer of the routing table.
+func (n *Conductor) tableTransferred(t follower.Transfer) {
+	text := ""
+	if t.Error != nil {
+		text = t.Error.Error()
+	}
+	n.Log.Info(recorder.TableTransferred, "operation", t.Operation, "source", t.Source, "bytes", t.Bytes,
+		"took", t.Took.String(), "error", text)
+}
+
 // tableAvailabilityChanged logs that an operation on the routing table failed or, if err is
 // nil, that it succeeds again.
 func (n *Conductor) tableAvailabilityChanged(operation string, err error) {
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -5,7 +5,6 @@
 	"crypto/subtle"
 	"fmt"
 	"hash/fnv"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/gentianlever/gentianlever/internal/announcer"
 	"github.com/gentianlever/gentianlever/internal/distributor"
 	"github.com/gentianlever/gentianlever/internal/messenger"
+	"github.com/gentianlever/gentianlever/internal/receiver"
 	"github.com/gentianlever/gentianlever/internal/recorder"
 	"github.com/gentianlever/gentianlever/internal/relayer"
 )
@@ -219,7 +219,7 @@
 		return nil, 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	encoded, err := io.ReadAll(io.LimitReader(resp.Body, maxTableBytes))
+	encoded, err := receiver.Read(resp.Body, maxTableBytes)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -81,6 +81,12 @@
 	// not poll reads the table once at its start and then receives changes from members. Nil
 	// means that it always polls.
 	ShouldPoll func() bool
+	// OnAnnounced is called with each announced version that is higher than all before. It may
+	// be nil.
+	OnAnnounced func(member string, version uint64)
+	// OnTransfer is called after each call of Read, WaitForChange or Fetch that returned a table
+	// or failed. It may be nil.
+	OnTransfer func(t Transfer)
 	// OnApplied is called after a version takes effect; source says where it came from. It
 	// may be nil.
 	OnApplied func(v *Version, source string)
@@ -96,7 +102,21 @@
 	era           uint64
 	cancelWait    context.CancelFunc
 	announcements chan announcement
-	once          sync.Once
+	// announced is the highest announced version.
+	announced uint64
+	once      sync.Once
+}
+
+// Transfer is a finished transfer of the routing table.
+type Transfer struct {
+	// Operation is "read", "wait" or "fetch", and Source "store" or the member.
+	Operation string
+	Source    string
+	// Bytes is the size of the table; zero if the transfer failed.
+	Bytes int
+	// Took is the duration of the call. That of a wait includes the time without a change.
+	Took  time.Duration
+	Error error
 }
 
 // announcement is a member's report that it has a higher version.
@@ -235,7 +255,7 @@
 	if !p.known {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
-		snapshot, err := f.Read(ctx)
+		snapshot, err := f.read(ctx)
 		return snapshot, "read", err
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait+waitGrace)
@@ -246,13 +266,37 @@
 		cancel()
 	}
 	f.mu.Unlock()
+	started := time.Now()
 	snapshot, err := f.WaitForChange(ctx, p.number, maxWait)
+	f.reportTransfer("wait", "store", started, snapshot.Encoded, err)
 	f.mu.Lock()
 	f.cancelWait = nil
 	f.mu.Unlock()
 	return snapshot, "wait", err
 }
 
+// read reads the table from the store.
+func (f *Follower) read(ctx context.Context) (Snapshot, error) {
+	started := time.Now()
+	snapshot, err := f.Read(ctx)
+	f.reportTransfer("read", "store", started, snapshot.Encoded, err)
+	return snapshot, err
+}
+
+// reportTransfer calls OnTransfer for a transfer that returned a table or failed.
+func (f *Follower) reportTransfer(operation, source string, started time.Time, encoded []byte, err error) {
+	if f.OnTransfer == nil || (err == nil && len(encoded) == 0) {
+		return
+	}
+	f.OnTransfer(Transfer{
+		Operation: operation,
+		Source:    source,
+		Bytes:     len(encoded),
+		Took:      time.Since(started),
+		Error:     err,
+	})
+}
+
 // report calls OnError for errors and for the first reported success after an error.
 func (f *Follower) report(operation string, err error) {
 	f.mu.Lock()
@@ -267,6 +311,13 @@
 // HandleAnnouncement handles the announcement of a version by a member. It does not block.
 func (f *Follower) HandleAnnouncement(member string, version uint64) {
 	f.initOnce()
+	f.mu.Lock()
+	higher := version > f.announced
+	f.announced = max(f.announced, version)
+	f.mu.Unlock()
+	if higher && f.OnAnnounced != nil {
+		f.OnAnnounced(member, version)
+	}
 	select {
 	case f.announcements <- announcement{
 		member:  member,
@@ -296,15 +347,17 @@
 // fetch fails.
 func (f *Follower) fetch(ctx context.Context, a announcement) {
 	fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	started := time.Now()
 	encoded, err := f.Fetch(fetchCtx, a.member)
 	cancel()
+	f.reportTransfer("fetch", a.member, started, encoded, err)
 	if err == nil {
 		f.Offer(encoded, "member "+a.member)
 		return
 	}
 	f.report("fetch", err)
 	readCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	snapshot, err := f.Read(readCtx)
+	snapshot, err := f.read(readCtx)
 	cancel()
 	f.report("read", err)
 	if err == nil && len(snapshot.Encoded) > 0 {
--- a/internal/recorder/events.go
+++ b/internal/recorder/events.go
@@ -19,6 +19,8 @@
 	MembersChanged       Event = "members-changed"
 	NodeSilent           Event = "node-silent"
 	NodeHeard            Event = "node-heard"
+	TableAnnounced       Event = "table-announced"
+	TableTransferred     Event = "table-transferred"
 	TableApplied         Event = "table-applied"
 	TableUnavailable     Event = "table-unavailable"
 	TableAvailable       Event = "table-available"
@@ -118,6 +120,16 @@
 		Fields: []string{"peer", "incarnation", "address"},
 		Help:   "an unresponsive node responds again",
 	},
+	{
+		Name:   TableAnnounced,
+		Fields: []string{"member", "version", "current"},
+		Help:   "a member announced a version of the routing table that is higher than each one announced before",
+	},
+	{
+		Name:   TableTransferred,
+		Fields: []string{"operation", "source", "bytes", "took", "error"},
+		Help:   "a transfer of the routing table from the store or a member ended; bytes is the size of the table, and error says after how many bytes a failed transfer ended",
+	},
 	{
 		Name:   TableApplied,
 		Fields: []string{"version", "source", "routes"},
