--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -29,6 +29,8 @@
 	// historyLost makes the next wait fail with a HistoryError.
 	historyLost atomic.Bool
 	down        atomic.Bool
+	// readTable replaces the reads if it is not nil.
+	readTable func(ctx context.Context) (Snapshot, error)
 }
 
 var errDown = errors.New("down")
@@ -41,8 +43,11 @@
 	}
 }
 
-func (s *store) read(context.Context) (Snapshot, error) {
+func (s *store) read(ctx context.Context) (Snapshot, error) {
 	s.reads.Add(1)
+	if s.readTable != nil {
+		return s.readTable(ctx)
+	}
 	if s.down.Load() {
 		return Snapshot{}, errDown
 	}
