Send members the changes of the routing table, and don't cut off slow transfers

Cause: each change sent the whole table of 1 MB and more to each node, and a transfer that took longer than a fixed limit (fetch 1 s, read 1 or 2 s) was dropped and began again at its first byte. Links of 10 Mbit/s that carry requests too need longer than that, so the repeated transfers kept the links full, and no node behind them finished. Announcements waited behind slow members in the order of their arrival.

Change: a transfer is given up when nothing arrives for 1 s (member) or 2 s (store), not when it takes long. A fetch states the version that the node has; the member responds with the table as a zstd frame that refers to that version, or compressed on its own. Of the announced versions the highest is fetched first, by at most two fetches; the older one always finishes, so quick successions can't starve a node.

--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"github.com/gentianlever/gentianlever/internal/announcer"
 	"github.com/gentianlever/gentianlever/internal/distributor"
+	"github.com/gentianlever/gentianlever/internal/follower"
 	"github.com/gentianlever/gentianlever/internal/messenger"
 	"github.com/gentianlever/gentianlever/internal/receiver"
 	"github.com/gentianlever/gentianlever/internal/recorder"
@@ -37,6 +39,15 @@
 	headerFetch  = "Gentianlever-Fetch"
 	fetchedTable = "table"
 	fetchedEra   = "store-era"
+	// headerKnownTable states the ID of the table that the fetching node has, and headerTableBase
+	// that of the table from which the body of the response is a delta. Without them, the body
+	// is the encoded table.
+	headerKnownTable = "Gentianlever-Known-Table"
+	headerTableBase  = "Gentianlever-Table-Base"
+	// fetchResponseTimeout bounds the wait for a member's response to a fetch, and fetchStall the
+	// time without a byte of it.
+	fetchResponseTimeout = time.Second
+	fetchStall           = time.Second
 )
 
 // membership holds the node's membership and its connections to other nodes.
@@ -194,43 +205,69 @@
 	}
 }
 
-// fetchTable fetches the encoded routing table of a member.
-func (n *Conductor) fetchTable(ctx context.Context, member string) ([]byte, error) {
-	encoded, _, err := n.fetch(ctx, member, fetchedTable)
-	return encoded, err
+// fetchTable fetches the encoded routing table of a member, as a delta from the active one if the
+// member has that. It returns the number of bytes received too.
+func (n *Conductor) fetchTable(ctx context.Context, member string) ([]byte, int, error) {
+	f, err := n.fetch(ctx, member, fetchedTable)
+	if err != nil {
+		return nil, 0, err
+	}
+	if f.base == "" {
+		return f.body, len(f.body), nil
+	}
+	encoded, err := n.follower.Apply(follower.Delta{
+		Base: f.base,
+		Body: f.body,
+	}, maxTableBytes)
+	return encoded, len(f.body), err
+}
+
+// fetched is a member's response to a fetch.
+type fetched struct {
+	body []byte
+	// base is the ID of the base of which body is a delta; empty if it is none.
+	base string
+	// era is the era of the store that the member knew before the fetch, or 0.
+	era uint64
 }
 
 // fetch fetches one of the things that headerFetch names from a member. Both nodes tell each
-// other the era of the store; fetch returns the one that the member knew before, or 0.
-func (n *Conductor) fetch(ctx context.Context, member, what string) ([]byte, uint64, error) {
+// other the era of the store.
+func (n *Conductor) fetch(ctx context.Context, member, what string) (fetched, error) {
 	address, err := n.announcer.Address(member)
 	if err != nil {
-		return nil, 0, err
+		return fetched{}, err
 	}
+	ctx, watch := receiver.NewWatch(ctx, fetchResponseTimeout)
+	defer watch.Stop()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/", nil)
 	if err != nil {
-		return nil, 0, err
+		return fetched{}, err
 	}
 	r.Header.Set(headerFetch, what)
+	r.Header.Set(headerKnownTable, n.follower.ID())
 	r.Header.Set(relayer.HeaderNodeToken, n.callers.NodeToken)
 	n.setEra(r.Header)
 	resp, err := n.nodeExchanger.Exchange(ctx, r, address)
 	if err != nil {
-		return nil, 0, err
+		return fetched{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	encoded, err := receiver.Read(resp.Body, maxTableBytes)
+	body, err := watch.Read(ctx, resp.Body, maxTableBytes, fetchStall)
 	if err != nil {
-		return nil, 0, err
+		return fetched{}, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, 0, errors.Errorf("fetch of %s from member %s: unexpected status %d", what, member, resp.StatusCode)
+		return fetched{}, errors.Errorf("fetch of %s from member %s: unexpected status %d", what, member, resp.StatusCode)
 	}
-	return encoded, n.handleMemberEra(resp.Header, member), nil
+	return fetched{
+		body: body,
+		base: resp.Header.Get(headerTableBase),
+		era:  n.handleMemberEra(resp.Header, member),
+	}, nil
 }
 
-// maxTableBytes limits the size of a fetched routing table. It is far above the 64 KB that a row
-// of the store holds.
+// maxTableBytes limits the size of a fetched routing table, encoded and decoded.
 const maxTableBytes = 4 << 20
 
 // nodesHandler handles requests from other nodes: messages, fetches of the routing table, and
@@ -265,10 +302,26 @@
 		w.WriteHeader(http.StatusOK)
 	case v == nil:
 		w.WriteHeader(http.StatusServiceUnavailable)
-	default:
+	case r.Header.Get(headerKnownTable) == "":
 		// A failed write means that the member has closed the connection.
 		_, _ = w.Write(v.Encoded)
+	default:
+		n.serveDelta(w, r.Header.Get(headerKnownTable))
+	}
+}
+
+// serveDelta serves the active table to a member that has the one with the ID known.
+func (n *Conductor) serveDelta(w http.ResponseWriter, known string) {
+	delta, err := n.follower.Delta(known)
+	if err != nil {
+		n.Log.Error(recorder.TableUnavailable, "operation", "encode", "version", n.follower.Version(), "error", err.Error())
+		w.WriteHeader(http.StatusInternalServerError)
+		return
 	}
+	w.Header().Set(headerTableBase, delta.Base)
+	w.Header().Set("Content-Length", strconv.Itoa(len(delta.Body)))
+	// A failed write means that the member has closed the connection.
+	_, _ = w.Write(delta.Body)
 }
 
 // messengerService returns the service that handles messages from other nodes. A sidecar has
--- a/internal/conductor/restore.go
+++ b/internal/conductor/restore.go
@@ -22,8 +22,8 @@
 	}
 	n.restorer.Peers = n.otherMembers
 	n.restorer.Notify = func(ctx context.Context, peer string, _ uint64) (uint64, error) {
-		_, known, err := n.fetch(ctx, peer, fetchedEra)
-		return known, err
+		f, err := n.fetch(ctx, peer, fetchedEra)
+		return f.era, err
 	}
 	n.restorer.OnRestored = func(old, current uint64, source string) {
 		n.Log.Warn(recorder.StoreRestored, "before", old, "era", current, "source", source, "version", n.follower.Version())
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -20,11 +20,9 @@
 	// maxWait is the longest wait of one long-polling call to the store's feed. Calls are
 	// charged, so it is long. Members announce changes, so a long wait delays none.
 	maxWait = 30 * time.Second
-	// waitGrace is added to maxWait for the timeout of a call. A slow store takes up to
-	// 250 ms to respond.
-	waitGrace = 2 * time.Second
-	// readTimeout bounds a read of the table from the store.
-	readTimeout = 2 * time.Second
+	// transferTimeout bounds a read of the table from the store and a fetch from a member. Both
+	// are given up earlier if they make no progress.
+	transferTimeout = 30 * time.Second
 	// minBackoff is the mean delay after the first failed call. It doubles with each failure
 	// up to maxBackoff. With jitter, a delay is at most 1.5 times as long, short enough for a
 	// new table to take effect within the required 2 s after an outage.
@@ -33,9 +31,6 @@
 	// shouldPollInterval is the interval at which a node that does not poll checks whether it
 	// should. It is well under the 2 s within which a new table must take effect.
 	shouldPollInterval = 500 * time.Millisecond
-	// fetchTimeout bounds a fetch from a member, and the read from the store after a failed
-	// fetch.
-	fetchTimeout = time.Second
 )
 
 // Snapshot is the encoded routing table at a position of the store's change history.
@@ -64,6 +59,8 @@
 type Version struct {
 	Table   *router.Table
 	Encoded []byte
+	// ID identifies Encoded.
+	ID string
 	// Received is the time at which this process activated the version.
 	Received time.Time
 }
@@ -71,11 +68,12 @@
 // Follower keeps the routing table up to date. Set the exported fields before Run.
 type Follower struct {
 	// Read reads the table from the store. WaitForChange waits there until the table changes
-	// after position, for at most the given time.
+	// after position, for at most the given time. Both must fail if they make no progress.
 	Read          func(ctx context.Context) (Snapshot, error)
 	WaitForChange func(ctx context.Context, position uint64, wait time.Duration) (Snapshot, error)
-	// Fetch fetches the encoded table from a member.
-	Fetch  func(ctx context.Context, member string) ([]byte, error)
+	// Fetch fetches the encoded table from a member, and returns the bytes received too. It must
+	// fail if it makes no progress.
+	Fetch  func(ctx context.Context, member string) (encoded []byte, received int, err error)
 	Decode func(encoded []byte) (*router.Table, error)
 	// ShouldPoll reports whether this node waits for changes at the store. A node that does
 	// not poll reads the table once at its start and then receives changes from members. Nil
@@ -99,12 +97,11 @@
 	mu      sync.Mutex
 	failing bool
 	// era is the highest era passed to HandleEra, and cancelWait ends the wait in flight.
-	era           uint64
-	cancelWait    context.CancelFunc
-	announcements chan announcement
-	// announced is the highest announced version.
-	announced uint64
-	once      sync.Once
+	era        uint64
+	cancelWait context.CancelFunc
+	fetches    fetches
+	deltas     deltas
+	once       sync.Once
 }
 
 // Transfer is a finished transfer of the routing table.
@@ -112,21 +109,19 @@
 	// Operation is "read", "wait" or "fetch", and Source "store" or the member.
 	Operation string
 	Source    string
-	// Bytes is the size of the table; zero if the transfer failed.
+	// Bytes is the size of the table or, from a member, of its compressed difference; zero if
+	// the transfer failed.
 	Bytes int
 	// Took is the duration of the call. That of a wait includes the time without a change.
 	Took  time.Duration
 	Error error
 }
 
-// announcement is a member's report that it has a higher version.
-type announcement struct {
-	member  string
-	version uint64
-}
-
 func (f *Follower) initOnce() {
-	f.once.Do(func() { f.announcements = make(chan announcement, 16) })
+	f.once.Do(func() {
+		f.fetches.announced = make(map[string]uint64)
+		f.fetches.wake = make(chan struct{}, 1)
+	})
 }
 
 // Current returns the active version, or nil before the first one.
@@ -253,12 +248,12 @@
 // of the operation.
 func (f *Follower) next(ctx context.Context, p position) (Snapshot, string, error) {
 	if !p.known {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 		defer cancel()
 		snapshot, err := f.read(ctx)
 		return snapshot, "read", err
 	}
-	ctx, cancel := context.WithTimeout(ctx, maxWait+waitGrace)
+	ctx, cancel := context.WithTimeout(ctx, maxWait+transferTimeout)
 	defer cancel()
 	f.mu.Lock()
 	f.cancelWait = cancel
@@ -268,7 +263,7 @@
 	f.mu.Unlock()
 	started := time.Now()
 	snapshot, err := f.WaitForChange(ctx, p.number, maxWait)
-	f.reportTransfer("wait", "store", started, snapshot.Encoded, err)
+	f.reportTransfer("wait", "store", started, len(snapshot.Encoded), err)
 	f.mu.Lock()
 	f.cancelWait = nil
 	f.mu.Unlock()
@@ -279,19 +274,19 @@
 func (f *Follower) read(ctx context.Context) (Snapshot, error) {
 	started := time.Now()
 	snapshot, err := f.Read(ctx)
-	f.reportTransfer("read", "store", started, snapshot.Encoded, err)
+	f.reportTransfer("read", "store", started, len(snapshot.Encoded), err)
 	return snapshot, err
 }
 
 // reportTransfer calls OnTransfer for a transfer that returned a table or failed.
-func (f *Follower) reportTransfer(operation, source string, started time.Time, encoded []byte, err error) {
-	if f.OnTransfer == nil || (err == nil && len(encoded) == 0) {
+func (f *Follower) reportTransfer(operation, source string, started time.Time, size int, err error) {
+	if f.OnTransfer == nil || (err == nil && size == 0) {
 		return
 	}
 	f.OnTransfer(Transfer{
 		Operation: operation,
 		Source:    source,
-		Bytes:     len(encoded),
+		Bytes:     size,
 		Took:      time.Since(started),
 		Error:     err,
 	})
@@ -308,63 +303,6 @@
 	}
 }
 
-// HandleAnnouncement handles the announcement of a version by a member. It does not block.
-func (f *Follower) HandleAnnouncement(member string, version uint64) {
-	f.initOnce()
-	f.mu.Lock()
-	higher := version > f.announced
-	f.announced = max(f.announced, version)
-	f.mu.Unlock()
-	if higher && f.OnAnnounced != nil {
-		f.OnAnnounced(member, version)
-	}
-	select {
-	case f.announcements <- announcement{
-		member:  member,
-		version: version,
-	}:
-	default:
-		// The queue is full. The member announces its version again within a second.
-	}
-}
-
-// followMembers fetches the versions that members announce.
-func (f *Follower) followMembers(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case a := <-f.announcements:
-			if a.version <= f.Version() {
-				continue
-			}
-			f.fetch(ctx, a)
-		}
-	}
-}
-
-// fetch fetches an announced version from the member, or reads it from the store if the
-// fetch fails.
-func (f *Follower) fetch(ctx context.Context, a announcement) {
-	fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	started := time.Now()
-	encoded, err := f.Fetch(fetchCtx, a.member)
-	cancel()
-	f.reportTransfer("fetch", a.member, started, encoded, err)
-	if err == nil {
-		f.Offer(encoded, "member "+a.member)
-		return
-	}
-	f.report("fetch", err)
-	readCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	snapshot, err := f.read(readCtx)
-	cancel()
-	f.report("read", err)
-	if err == nil && len(snapshot.Encoded) > 0 {
-		f.Offer(snapshot.Encoded, "store")
-	}
-}
-
 // Offer activates an encoded table if its version is higher than the active one. It reports
 // whether it did.
 func (f *Follower) Offer(encoded []byte, source string) bool {
@@ -376,6 +314,7 @@
 	v := &Version{
 		Table:    t,
 		Encoded:  encoded,
+		ID:       newID(encoded),
 		Received: time.Now(),
 	}
 	f.mu.Lock()
@@ -383,6 +322,7 @@
 	newer := old == nil || t.Version > old.Table.Version
 	if newer {
 		f.current.Store(v)
+		f.deltas.keep(v)
 	}
 	f.mu.Unlock()
 	if newer && f.OnApplied != nil {
--- a/internal/recorder/events.go
+++ b/internal/recorder/events.go
@@ -128,7 +128,7 @@
 	{
 		Name:   TableTransferred,
 		Fields: []string{"operation", "source", "bytes", "took", "error"},
-		Help:   "a transfer of the routing table from the store or a member ended; bytes is the size of the table, and error says after how many bytes a failed transfer ended",
+		Help:   "a transfer of the routing table from the store or a member ended; bytes is the size of the table, or of its compressed difference that a member sent, and error says after how many bytes a failed transfer ended",
 	},
 	{
 		Name:   TableApplied,
@@ -138,7 +138,7 @@
 	{
 		Name:   TableUnavailable,
 		Fields: []string{"operation", "version", "error"},
-		Help:   "a read, wait, fetch or decoding of the routing table failed; the current version stays in effect",
+		Help:   "a read, wait, fetch, decoding or encoding of the routing table failed; the current version stays in effect",
 	},
 	{
 		Name:   TableAvailable,
