Keep endpoints within the request limit that they state

The node beside the endpoint admits requests by free slots alone, and to the other nodes an endpoint with free slots looks idle.

Change: the scheduler has a token bucket that each start of a request uses: retries, hedges and nested calls too, since all pass through this node, so the limit holds over all machines without an agreement. A request that the limit doesn't allow in time is refused at once as not run (rate-limited), with the time until the limit allows one. The load report shows a full endpoint until then, so other nodes choose another one. Endpoints with a limit aren't probed.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -210,6 +210,7 @@
 		MaxBodyBytes: n.maxBodyBytes,
 		OnEvent:      n.requestFinished,
 		OnProbe:      n.probeFinished,
+		OnRateLimit:  n.rateLimitChanged,
 		OnLoadChange: n.loadExchange.Changed,
 		OnRequest:    n.loadExchange.Subscribe,
 		OnStart:      n.beginRequest,
--- a/internal/conductor/endpoint.go
+++ b/internal/conductor/endpoint.go
@@ -10,6 +10,7 @@
 	"github.com/gentianlever/gentianlever/internal/meter"
 	"github.com/gentianlever/gentianlever/internal/recorder"
 	"github.com/gentianlever/gentianlever/internal/registrar"
+	"github.com/gentianlever/gentianlever/internal/scheduler"
 	"github.com/gentianlever/gentianlever/internal/sleeper"
 	"github.com/gentianlever/gentianlever/internal/storer"
 )
@@ -201,6 +202,23 @@
 	}
 }
 
+// rateLimitChanged logs a change of the rate limit that the endpoint states.
+func (n *Conductor) rateLimitChanged(before, after float64, err error) {
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	n.Log.Info(recorder.RateLimitChanged, "before", formatLimit(before), "limit", formatLimit(after), "error", text)
+}
+
+// formatLimit formats a rate limit; "none" if there is none.
+func formatLimit(perSecond float64) string {
+	if perSecond == scheduler.NoRateLimit {
+		return "none"
+	}
+	return strconv.FormatFloat(perSecond, 'g', 4, 64)
+}
+
 func probeOutcome(err error) string {
 	if err != nil {
 		return "failed"
--- a/internal/recorder/events.go
+++ b/internal/recorder/events.go
@@ -35,6 +35,7 @@
 	DeparturesUnknown    Event = "departures-unknown"
 	DepartureNotRecorded Event = "departure-not-recorded"
 	ProbeFailed          Event = "probe-failed"
+	RateLimitChanged     Event = "rate-limit-changed"
 	RequestMalformed     Event = "request-malformed"
 	RequestQuarantined   Event = "request-quarantined"
 	CallerRequest        Event = "caller-request"
@@ -200,6 +201,11 @@
 		Fields: []string{"error"},
 		Help:   "a health probe of the endpoint failed",
 	},
+	{
+		Name:   RateLimitChanged,
+		Fields: []string{"before", "limit", "error"},
+		Help:   "the endpoint states another limit of requests a second in its responses, or none; error is set for an invalid one, which changes nothing",
+	},
 	{
 		Name:   RequestMalformed,
 		Fields: []string{"reason"},
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -50,6 +50,7 @@
 const (
 	Draining            Reason = "draining"
 	QueueFull           Reason = "queue-full"
+	RateLimited         Reason = "rate-limited"
 	DeadlineUnreachable Reason = "deadline-unreachable"
 	Placement           Reason = "placement"
 	NoFreeSlot          Reason = "no-free-slot"
@@ -120,6 +121,13 @@
 		Retry:  RetryElsewhere,
 		Help:   "the endpoint's queue for the request's class is full, or the request is not expected to end in time at this endpoint",
 	},
+	{
+		Reason: RateLimited,
+		Status: http.StatusServiceUnavailable,
+		Ran:    NotRun,
+		Retry:  RetryElsewhere,
+		Help:   "the endpoint states a limit of requests a second, which does not allow the request in time",
+	},
 	{
 		Reason: DeadlineUnreachable,
 		Status: http.StatusServiceUnavailable,
--- a/internal/relayer/admission.go
+++ b/internal/relayer/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/gentianlever/gentianlever/internal/refuser"
@@ -27,6 +28,7 @@
 		s.waiting[request] = result
 		s.scheduleDispatch()
 	}
+	s.scheduleLoadChange()
 	s.mu.Unlock()
 	s.OnLoadChange()
 	switch d.Verdict {
@@ -45,6 +47,8 @@
 	switch d.Verdict {
 	case scheduler.Slow:
 		reason = refuser.EndpointSlow
+	case scheduler.Limited:
+		reason = refuser.RateLimited
 	case scheduler.DeadlineUnreachable:
 		reason = refuser.DeadlineUnreachable
 	}
@@ -105,6 +109,7 @@
 		s.notify(r, nil)
 	}
 	s.scheduleDispatch()
+	s.scheduleLoadChange()
 }
 
 // notify passes a decision on a queued request to await, unless the request was cancelled. The
@@ -133,3 +138,38 @@
 		s.dispatch()
 	})
 }
+
+// scheduleLoadChange starts a timer that calls OnLoadChange when the rate limit allows a request
+// again, unless it is running or one is allowed now. The caller holds s.mu.
+func (s *EndpointSide) scheduleLoadChange() {
+	delay := s.scheduler.RateDelay(time.Now())
+	if delay == 0 || s.rateTimer != nil {
+		return
+	}
+	s.rateTimer = time.AfterFunc(delay, func() {
+		s.mu.Lock()
+		s.rateTimer = nil
+		s.mu.Unlock()
+		s.OnLoadChange()
+	})
+}
+
+// recordLimit sets the rate limit that a response states. A response without one ends the limit, but
+// an invalid one and the response to a health check do not.
+func (s *EndpointSide) recordLimit(h http.Header, healthCheck bool) {
+	limit, err := s.Dialect.RateLimit(h)
+	if err == nil && healthCheck && limit == scheduler.NoRateLimit {
+		return
+	}
+	s.mu.Lock()
+	before := s.scheduler.RateLimit()
+	if err == nil {
+		s.scheduler.SetRateLimit(limit, time.Now())
+		s.dispatch()
+	}
+	after := s.scheduler.RateLimit()
+	s.mu.Unlock()
+	if after != before || err != nil {
+		s.OnRateLimit(before, after, err)
+	}
+}
--- a/internal/relayer/dialect.go
+++ b/internal/relayer/dialect.go
@@ -29,6 +29,9 @@
 	Signed func(h http.Header) bool
 	// EndpointLoad parses the load that an endpoint reports in its response headers.
 	EndpointLoad func(h http.Header) (reporter.EndpointLoad, bool)
+	// RateLimit parses the requests a second that an endpoint takes from all nodes together. It
+	// returns scheduler.NoRateLimit if the headers state none.
+	RateLimit func(h http.Header) (float64, error)
 }
 
 // Matches reports whether a response belongs to a request: it has the request's ID and no other.
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -61,6 +61,10 @@
 	OnEvent func(e Event)
 	// OnProbe is called after each probe with its error, or nil if the endpoint responded.
 	OnProbe func(err error)
+	// OnRateLimit is called when the rate limit that the endpoint states has changed, in requests a
+	// second, and with the error of an invalid one, which changes nothing. A limit is
+	// scheduler.NoRateLimit if there is none.
+	OnRateLimit func(before, after float64, err error)
 	// OnLoadChange is called when a request has been offered to the scheduler or releases its
 	// slot, and after a probe or a reset, but not when a queued request is given up. It must not
 	// block.
@@ -81,6 +85,8 @@
 	waiting map[*scheduler.Request]chan error
 	// timer calls dispatch while requests are queued.
 	timer *time.Timer
+	// rateTimer calls OnLoadChange when the rate limit allows a request again.
+	rateTimer *time.Timer
 	// unreachableAt is the time of the last failed connection to the endpoint.
 	unreachableAt time.Time
 	// probing is closed when the probe that requests are waiting for ends. It is nil if there
@@ -338,6 +344,7 @@
 	s.misdirected = ""
 	s.unreachableAt = time.Time{}
 	s.scheduler.SetSlowness(0, time.Time{})
+	s.scheduler.SetRateLimit(scheduler.NoRateLimit, time.Now())
 	s.probedAt = time.Time{}
 	s.loadMissing = false
 	s.mu.Unlock()
@@ -353,23 +360,32 @@
 	defer s.mu.Unlock()
 	running, waiting := s.scheduler.Load()
 	slowness, _ := s.scheduler.Slowness(time.Now())
+	slots := min(endpoint.Slots, s.scheduler.Capacity())
+	if s.scheduler.RateDelay(time.Now()) > 0 {
+		// Free slots are of no use to other nodes until the limit allows a request.
+		running = max(running, slots)
+	}
 	return reporter.Load{
 		InFlight:    running,
 		QueuedShort: waiting,
-		Slots:       min(endpoint.Slots, s.scheduler.Capacity()),
+		Slots:       slots,
 		Incarnation: s.Incarnation,
 		Draining:    !available,
 		Slowness:    slowness,
 	}
 }
 
-// ProbeDue reports whether the endpoint should be probed for its slowness.
+// ProbeDue reports whether the endpoint should be probed for its slowness. One with a rate limit is
+// not, because a probe is a request too.
 func (s *EndpointSide) ProbeDue() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return scheduler.ProbeDue(s.probeState(time.Now()))
+	return !s.limited() && scheduler.ProbeDue(s.probeState(time.Now()))
 }
 
+// limited reports whether the endpoint states a rate limit. The caller holds s.mu.
+func (s *EndpointSide) limited() bool { return s.scheduler.RateLimit() != scheduler.NoRateLimit }
+
 // probeState returns the inputs for the decision whether to probe the endpoint. The caller
 // holds s.mu.
 func (s *EndpointSide) probeState(now time.Time) scheduler.SlownessView {
@@ -393,7 +409,7 @@
 	s.mu.Lock()
 	s.scheduler.Slots = s.Endpoint().Slots
 	running, _ := s.scheduler.Load()
-	if path == "" || running >= s.scheduler.Capacity() || !scheduler.ProbeBeforeStart(s.probeState(time.Now())) {
+	if path == "" || s.limited() || running >= s.scheduler.Capacity() || !scheduler.ProbeBeforeStart(s.probeState(time.Now())) {
 		s.mu.Unlock()
 		return
 	}
@@ -449,6 +465,7 @@
 		return &exchanger.FramingError{Problem: "the body exceeds the size limit"}
 	}
 	reported := s.recordLoad(resp.Header)
+	s.recordLimit(resp.Header, true)
 	s.mu.Lock()
 	s.loadMissing = !reported
 	s.mu.Unlock()
--- a/internal/relayer/endpointside_test.go
+++ b/internal/relayer/endpointside_test.go
@@ -20,6 +20,7 @@
 	"github.com/gentianlever/gentianlever/internal/refuser"
 	"github.com/gentianlever/gentianlever/internal/registrar"
 	"github.com/gentianlever/gentianlever/internal/reporter"
+	"github.com/gentianlever/gentianlever/internal/scheduler"
 )
 
 // testDialect returns a dialect for these tests.
@@ -39,6 +40,7 @@
 			slowness, err := strconv.Atoi(h.Get("X-Slowness"))
 			return reporter.EndpointLoad{Slowness: slowness}, err == nil
 		},
+		RateLimit: func(http.Header) (float64, error) { return scheduler.NoRateLimit, nil },
 	}
 }
 
@@ -83,6 +85,7 @@
 		MaxBodyBytes: func() int64 { return 1 << 20 },
 		OnEvent:      func(Event) {},
 		OnProbe:      func(error) {},
+		OnRateLimit:  func(float64, float64, error) {},
 		OnLoadChange: func() {},
 		OnRequest:    func(netip.Addr) {},
 		OnStart:      func(*Call, string) error { return nil },
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -55,6 +55,7 @@
 	}
 	e.Responded = true
 	s.recordLoad(resp.Header)
+	s.recordLimit(resp.Header, false)
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	_ = resp.Body.Close()
 	e.Duration = time.Since(sent)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -88,12 +88,14 @@
 	// Slow refuses because the request is not expected to end in time at this endpoint, which
 	// is currently slow.
 	Slow
+	// Limited refuses because the endpoint's rate limit does not allow the request in time.
+	Limited
 	// DeadlineUnreachable refuses because even an idle endpoint at normal speed could not
 	// respond before the deadline.
 	DeadlineUnreachable
 )
 
-var verdictNames = []string{"none", "run", "wait", "busy", "slow", "hopeless"}
+var verdictNames = []string{"none", "run", "wait", "busy", "slow", "limited", "hopeless"}
 
 func (v Verdict) String() string { return verdictNames[v] }
 
@@ -104,7 +106,7 @@
 	ExpectedQueueWait   time.Duration
 	ExpectedServiceTime time.Duration
 	// RetryDelay is the time after which a retry is expected to find a free slot, if the verdict
-	// is Busy or Slow; else zero.
+	// is Busy, Slow or Limited; else zero.
 	RetryDelay time.Duration
 }
 
@@ -119,6 +121,7 @@
 	slowdown     slowdownCurve
 	slowness     int
 	reported     time.Time
+	rate         rateLimit
 }
 
 // Load returns the number of running and of queued requests.
@@ -159,13 +162,14 @@
 func (s *Scheduler) expect(r *Request, ahead int, now time.Time) (wait, service time.Duration) {
 	f := s.slownessFactor(now)
 	service = s.serviceTimes.of(r.Kind, r.DefaultServiceTime).at(f)
+	wait = s.rate.delay(ahead, now)
 	free := s.capacity(r) - s.running
 	if ahead < free {
-		return 0, service
+		return wait, service
 	}
 	// While all slots are in use, they are assumed to become free at a constant rate.
 	rounds := float64(ahead-free+1) / float64(max(s.capacity(r), 1))
-	return scale(s.serviceTimes.mean(r.DefaultServiceTime).at(f), rounds), service
+	return max(wait, scale(s.serviceTimes.mean(r.DefaultServiceTime).at(f), rounds)), service
 }
 
 // scale multiplies a duration. The result is bounded so that the sum of two doesn't overflow.
@@ -208,8 +212,13 @@
 		d.Verdict = Wait
 		s.insert(r)
 	}
-	if d.Verdict == Busy || d.Verdict == Slow {
-		d.RetryDelay = s.retryDelay(r, now)
+	switch d.Verdict {
+	case Busy, Slow:
+		limitDelay := s.rate.delay(len(s.waiting), now)
+		d.RetryDelay = max(s.retryDelay(r, now), limitDelay)
+		if d.Verdict == Busy && limitDelay > 0 && limitDelay >= d.ExpectedQueueWait {
+			d.Verdict = Limited
+		}
 	}
 	return d
 }
@@ -265,15 +274,17 @@
 
 func (s *Scheduler) start(r *Request, now time.Time) {
 	s.running++
+	s.rate.take()
 	r.started = now
 	r.occupancy = s.running
 	r.slowness = s.slownessFactor(now)
 }
 
-// Next starts the queued requests for which slots are free and returns them.
+// Next starts the queued requests for which slots are free and which the rate limit allows, and
+// returns them.
 func (s *Scheduler) Next(now time.Time) []*Request {
 	var started []*Request
-	for len(s.waiting) > 0 && s.running < s.capacity(s.waiting[0]) {
+	for len(s.waiting) > 0 && s.running < s.capacity(s.waiting[0]) && s.rate.delay(0, now) == 0 {
 		r := s.waiting[0]
 		s.waiting = append(s.waiting[:0], s.waiting[1:]...)
 		s.start(r, now)
