Stop using an endpoint that states in its responses that it is leaving

The node beside the endpoint sees each of its responses before any other node. It now drains the endpoint at the first one that says so, as after a report, and records that for a restart. Responses to health checks and refusals count too, but not those of another endpoint (status 421, or another ID). Later reports of the same run don't revoke it.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -210,6 +210,7 @@
 		MaxBodyBytes: n.maxBodyBytes,
 		OnEvent:      n.requestFinished,
 		OnProbe:      n.probeFinished,
+		OnLeaving:    n.endpointLeaving,
 		OnRateLimit:  n.rateLimitChanged,
 		OnLoadChange: n.loadExchange.Changed,
 		OnRequest:    n.loadExchange.Subscribe,
--- a/internal/conductor/endpoint.go
+++ b/internal/conductor/endpoint.go
@@ -202,6 +202,14 @@
 	}
 }
 
+// endpointLeaving handles a response in which the endpoint states that it is draining. The write of
+// the departure does not hold up the response.
+func (n *Conductor) endpointLeaving(e registrar.Endpoint) {
+	if d, isNew := n.registrar.Drain(e.ID, e.Started); isNew {
+		go n.recordDeparture(d)
+	}
+}
+
 // rateLimitChanged logs a change of the rate limit that the endpoint states.
 func (n *Conductor) rateLimitChanged(before, after float64, err error) {
 	text := ""
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -239,6 +239,27 @@
 	return d, nil
 }
 
+// Drain records that an endpoint stated in a response that it is draining, and returns the departure
+// and whether it is new. Later reports of the same run don't revoke it.
+func (g *Registrar) Drain(id string, started uint64) (Departure, bool) {
+	d := Departure{
+		ID:      id,
+		Started: started,
+	}
+	g.mu.Lock()
+	old := g.endpoint
+	if old.ID != id || old.Started != started || old.Draining {
+		g.mu.Unlock()
+		return d, false
+	}
+	g.addDeparture(d)
+	current := g.withDeparture(old, d)
+	g.endpoint = current
+	g.mu.Unlock()
+	g.notify(old, current)
+	return d, true
+}
+
 // Departures returns the remembered departures, sorted by the start to which they apply.
 func (g *Registrar) Departures() []Departure {
 	g.mu.Lock()
--- a/internal/relayer/dialect.go
+++ b/internal/relayer/dialect.go
@@ -29,6 +29,8 @@
 	Signed func(h http.Header) bool
 	// EndpointLoad parses the load that an endpoint reports in its response headers.
 	EndpointLoad func(h http.Header) (reporter.EndpointLoad, bool)
+	// Leaving reports whether a response states that the endpoint with an ID is draining.
+	Leaving func(h http.Header, endpoint string) bool
 	// RateLimit parses the requests a second that an endpoint takes from all nodes together. It
 	// returns scheduler.NoRateLimit if the headers state none.
 	RateLimit func(h http.Header) (float64, error)
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -61,6 +61,8 @@
 	OnEvent func(e Event)
 	// OnProbe is called after each probe with its error, or nil if the endpoint responded.
 	OnProbe func(err error)
+	// OnLeaving is called when a response states that the endpoint is draining.
+	OnLeaving func(endpoint registrar.Endpoint)
 	// OnRateLimit is called when the rate limit that the endpoint states has changed, in requests a
 	// second, and with the error of an invalid one, which changes nothing. A limit is
 	// scheduler.NoRateLimit if there is none.
@@ -338,6 +340,14 @@
 	return true
 }
 
+// recordLeaving passes on that a response states that the endpoint is draining. A misdirected
+// response comes from another endpoint.
+func (s *EndpointSide) recordLeaving(resp *http.Response, endpoint registrar.Endpoint) {
+	if resp.StatusCode != http.StatusMisdirectedRequest && s.Dialect.Leaving(resp.Header, endpoint.ID) {
+		s.OnLeaving(endpoint)
+	}
+}
+
 // ResetState discards the state learned from failures and responses of an earlier endpoint.
 func (s *EndpointSide) ResetState() {
 	s.mu.Lock()
@@ -440,13 +450,13 @@
 	s.mu.Lock()
 	s.probedAt = time.Now()
 	s.mu.Unlock()
-	err := s.probe(ctx, path)
+	err := s.probe(ctx, path, s.Endpoint())
 	s.OnLoadChange()
 	s.OnProbe(err)
 }
 
-// probe requests the health path and records the load in the response.
-func (s *EndpointSide) probe(ctx context.Context, path string) error {
+// probe requests the health path of the endpoint and records what the response states.
+func (s *EndpointSide) probe(ctx context.Context, path string, endpoint registrar.Endpoint) error {
 	resp, err := s.Exchanger.Exchange(ctx, &http.Request{
 		Method: http.MethodGet,
 		URL:    &url.URL{Path: path},
@@ -466,6 +476,7 @@
 	}
 	reported := s.recordLoad(resp.Header)
 	s.recordLimit(resp.Header, true)
+	s.recordLeaving(resp, endpoint)
 	s.mu.Lock()
 	s.loadMissing = !reported
 	s.mu.Unlock()
--- a/internal/relayer/endpointside_test.go
+++ b/internal/relayer/endpointside_test.go
@@ -40,6 +40,7 @@
 			slowness, err := strconv.Atoi(h.Get("X-Slowness"))
 			return reporter.EndpointLoad{Slowness: slowness}, err == nil
 		},
+		Leaving:   func(http.Header, string) bool { return false },
 		RateLimit: func(http.Header) (float64, error) { return scheduler.NoRateLimit, nil },
 	}
 }
@@ -85,6 +86,7 @@
 		MaxBodyBytes: func() int64 { return 1 << 20 },
 		OnEvent:      func(Event) {},
 		OnProbe:      func(error) {},
+		OnLeaving:    func(registrar.Endpoint) {},
 		OnRateLimit:  func(float64, float64, error) {},
 		OnLoadChange: func() {},
 		OnRequest:    func(netip.Addr) {},
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -56,6 +56,7 @@
 	e.Responded = true
 	s.recordLoad(resp.Header)
 	s.recordLimit(resp.Header, false)
+	s.recordLeaving(resp, endpoint)
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	_ = resp.Body.Close()
 	e.Duration = time.Since(sent)
