Refuse late requests of a stopping node as not run instead of cutting them off

It happens here too where the body of a request arrives after the listeners began to close: the node passed the request on, and 0.7 s before the end of the grace period cut it off.

Calls of requests that the local endpoint is still running are served as before. A request on a connection that was open but unused is closed unread by net/http and never passed on.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -79,6 +79,8 @@
 	// endpoint stops receiving requests.
 	shuttingDown   atomic.Bool
 	endpointClosed atomic.Bool
+	// callersClosed is set when the listeners begin to close.
+	callersClosed atomic.Bool
 	// storeFailing is set while the last call to the store failed.
 	storeFailing      atomic.Bool
 	operatorLimits    atomic.Pointer[validator.OperatorLimits]
@@ -247,6 +249,7 @@
 		LocalLoad:        n.endpoint.Load,
 		Distance:         n.distance,
 		CloseConnections: n.shuttingDown.Load,
+		Closed:           n.callersClosed.Load,
 		OnEvent:          n.requestFinished,
 		Seed:             n.incarnation,
 	}
--- a/internal/conductor/shutdown.go
+++ b/internal/conductor/shutdown.go
@@ -26,7 +26,8 @@
 // those that still run when only exitMargin is left. The order matters: first the node reports
 // that it is not ready; then the other nodes stop sending requests to its endpoint; callers and
 // the endpoint's own calls are served until callers use other nodes; only then do the listeners
-// close.
+// close. A request that arrives later, on a connection that was accepted before, is refused as not run:
+// the rest of the grace period may not be enough to finish it.
 func (n *Conductor) shutDown(l *listeners) {
 	started := time.Now()
 	grace := n.operatorLimits.Load().Grace
@@ -40,6 +41,7 @@
 		n.announcer.Drain()
 	}
 	time.Sleep(min(readinessPeriod, grace/2) - serving)
+	n.callersClosed.Store(true)
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-exitMargin))
 	defer cancel()
 	for _, open := range []*listener{l.callers, l.nodes, l.reports, l.ready, l.metrics} {
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -68,6 +68,7 @@
 	EndpointShed        Reason = "endpoint-shed"
 	EndpointSlow        Reason = "endpoint-slow"
 	EndpointUnknown     Reason = "endpoint-unknown"
+	Stopping            Reason = "stopping"
 	NotReady            Reason = "not-ready"
 	Overloaded          Reason = "overloaded"
 	NodeUnreachable     Reason = "node-unreachable"
@@ -247,6 +248,13 @@
 		Retry:  RetryElsewhere,
 		Help:   "the node's local endpoint has not reported, or the node at the address serves another service",
 	},
+	{
+		Reason: Stopping,
+		Status: http.StatusServiceUnavailable,
+		Ran:    NotRun,
+		Retry:  RetryNever,
+		Help:   "the node is being stopped and may not have the time to finish the request; another node serves it",
+	},
 	{
 		Reason: NotReady,
 		Status: http.StatusServiceUnavailable,
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -79,6 +79,9 @@
 	Distance func(zone string) time.Duration
 	// CloseConnections reports whether callers should close their connections.
 	CloseConnections func() bool
+	// Closed reports whether the node has begun to close its connections and takes no more requests,
+	// except the calls of requests that its endpoint is running.
+	Closed func() bool
 	// OnEvent is called with the outcome of each request, before the response is sent.
 	OnEvent func(e Event)
 	// Seed seeds the random choices of placement, splits and Retry-After.
@@ -124,6 +127,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	q, err := s.receive(w, r)
+	if err == nil && !q.call.Nested && s.Closed() {
+		err = &refuser.Refusal{Reason: refuser.Stopping}
+		s.heldBytes.Add(-int64(len(q.content)))
+	}
 	if err == nil {
 		defer s.heldBytes.Add(-int64(len(q.content)))
 		ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
--- a/internal/relayer/callerside_test.go
+++ b/internal/relayer/callerside_test.go
@@ -109,6 +109,7 @@
 		LocalLoad:        func() reporter.Load { return reporter.Load{} },
 		Distance:         func(string) time.Duration { return 0 },
 		CloseConnections: func() bool { return false },
+		Closed:           func() bool { return false },
 		OnEvent:          func(e Event) { c.events = append(c.events, e) },
 	}
 	return c
