--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -12,7 +12,6 @@
 	"github.com/gentianlever/gentianlever/internal/placer"
 	"github.com/gentianlever/gentianlever/internal/refuser"
 	"github.com/gentianlever/gentianlever/internal/reporter"
-	"github.com/gentianlever/gentianlever/internal/router"
 )
 
 // chooseEndpoint selects the endpoint for the next attempt and sets q.call.NoAlternative. It
@@ -50,7 +49,7 @@
 	var f *inFlightAttempt
 	if c.peer.ID != s.Node {
 		f = &inFlightAttempt{started: started}
-		if q.route.Kind == router.Idempotent {
+		if q.route.Kind.Repeatable() {
 			f.onUnresponsive = func() {
 				select {
 				case unresponsive <- c.peer.ID:
--- a/internal/relayer/retry.go
+++ b/internal/relayer/retry.go
@@ -9,7 +9,6 @@
 
 	"github.com/gentianlever/gentianlever/internal/placer"
 	"github.com/gentianlever/gentianlever/internal/refuser"
-	"github.com/gentianlever/gentianlever/internal/router"
 )
 
 // attempts are the attempts of one request.
@@ -130,7 +129,7 @@
 	q.excluded[c.peer.ID] = true
 	call := q.call
 	attempt := func() { a.results <- s.attempt(ctx, r, q, call, c, estimate, a.unresponsive) }
-	hedgeable := c.peer.ID != s.Node && q.route.Kind == router.Idempotent
+	hedgeable := c.peer.ID != s.Node && q.route.Kind.Repeatable()
 	if hedgeable || len(a.inProgress) > 1 {
 		go attempt()
 		return
@@ -268,7 +267,7 @@
 // another one. If it may, denyRetry takes a retry from the budget, counts the attempt and returns "".
 func (s *CallerSide) denyRetry(ctx context.Context, q *request, mayHaveRun bool) NoRetry {
 	switch {
-	case mayHaveRun && q.route.Kind != router.Idempotent:
+	case mayHaveRun && !q.route.Kind.Repeatable():
 		return RetryNotRepeatable
 	case ctx.Err() != nil || time.Now().Add(fromMicros(q.call.DefaultServiceTime)).After(q.deadline):
 		return RetryDeadline
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,12 +22,15 @@
 	AtMostOnce
 	// Upload requests have large bodies and run at most once.
 	Upload
+	// Download requests have large responses and may run more than once.
+	Download
 )
 
 var kindNames = map[Kind]string{
 	Idempotent: "idempotent",
 	AtMostOnce: "once",
 	Upload:     "upload",
+	Download:   "download",
 }
 
 func (k Kind) String() string {
@@ -37,6 +40,9 @@
 	return fmt.Sprintf("kind-%d", uint8(k))
 }
 
+// Repeatable reports whether a request of the kind may run more than once.
+func (k Kind) Repeatable() bool { return k == Idempotent || k == Download }
+
 // WeightedService is one service of a route and its weight in the split of the requests.
 type WeightedService struct {
 	Service string
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -104,6 +104,32 @@
 	}
 }
 
+// Guards against repeating requests that may run only once, and against failing ones that may be
+// repeated.
+func TestRepeatableKinds(t *testing.T) {
+	for _, test := range []struct {
+		kind       Kind
+		repeatable bool
+	}{
+		{
+			kind:       Idempotent,
+			repeatable: true,
+		},
+		{
+			kind:       Download,
+			repeatable: true,
+		},
+		{
+			kind: AtMostOnce,
+		},
+		{
+			kind: Upload,
+		},
+	} {
+		is.New(t).Equal(test.kind.Repeatable(), test.repeatable)
+	}
+}
+
 // Guards against a split whose shares hold on average only: they must hold over short
 // windows as well.
 func TestSplitFollowsWeights(t *testing.T) {
