Bound the memory of large responses, and the time for which a slow reader holds it

Responses were read without any bound on their sum: at most 4 MiB each, but as many at once as there are requests, and a caller that stopped reading held its response until its connection ended. With routes of downloads (90 KB on average, up to 540 KB) this decides whether a VM of 184 MB survives a burst.

collector reads a body completely, as before, so that one that ends early is never passed on as complete and can still be asked of another endpoint. A body above 64 KiB first waits for room for the whole of it, within the setting response-memory (16 MiB, once for the callers of a node and once for its endpoint); one reservation a body, so that bodies never wait for each other. While it waits the sender's TCP window closes. The wait ends with the request's deadline. The buffer is allocated once, at the stated length. Responses are written until at most 2 s after the deadline of their receiver.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/gentianlever/gentianlever/internal/budgeter"
+	"github.com/gentianlever/gentianlever/internal/collector"
 	"github.com/gentianlever/gentianlever/internal/exchanger"
 	"github.com/gentianlever/gentianlever/internal/follower"
 	"github.com/gentianlever/gentianlever/internal/forwarder"
@@ -182,7 +183,7 @@
 	for _, e := range []*exchanger.Exchanger{&n.nodeExchanger, &n.endpointExchanger} {
 		e.ConnectTimeout = connectTimeout
 		e.KeepAliveInterval = keepAliveInterval
-		e.MaxBodyBytes = relayer.MaxResponseBytes
+		e.MaxBodyBytes = collector.MaxBodyBytes
 	}
 	n.nodeExchanger.IdleTimeout = nodeIdleTimeout
 	n.nodeExchanger.HeaderTimeout = nodeHeaderTimeout
@@ -207,6 +208,7 @@
 		Incarnation:  n.incarnation,
 		Endpoint:     n.currentEndpoint,
 		Exchanger:    &n.endpointExchanger,
+		Bodies:       collector.Collector{Limit: s.ResponseMemory},
 		Closed:       n.endpointClosed.Load,
 		HealthPath:   n.healthPath,
 		MaxBodyBytes: n.maxBodyBytes,
@@ -245,6 +247,7 @@
 		View:             &n.view,
 		Budget:           &n.budget,
 		Exchanger:        &n.nodeExchanger,
+		Bodies:           collector.Collector{Limit: s.ResponseMemory},
 		RunLocal:         n.endpoint.Run,
 		LocalLoad:        n.endpoint.Load,
 		Distance:         n.distance,
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -153,12 +152,12 @@
 	if err != nil {
 		return nil, s.nodeFailure(ctx, err)
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	_ = resp.Body.Close()
+	body, err := s.Bodies.Collect(ctx, resp)
 	if err != nil {
 		return nil, s.nodeFailure(ctx, err)
 	}
 	if refused := readRefused(resp); refused != nil {
+		body.Release()
 		return nil, refused
 	}
 	// If the load can't be parsed, the view keeps the previous one.
@@ -166,8 +165,9 @@
 	return &Response{
 		Status: resp.StatusCode,
 		Header: forwarder.ForwardedHeader(resp.Header),
-		Body:   b,
+		Body:   body.Bytes,
 		Load:   load,
+		held:   body,
 	}, nil
 }
 
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/gentianlever/gentianlever/internal/collector"
 	"github.com/gentianlever/gentianlever/internal/refuser"
 	"github.com/gentianlever/gentianlever/internal/reporter"
 	"github.com/gentianlever/gentianlever/internal/scheduler"
@@ -97,6 +98,16 @@
 	// Endpoint is the ID of the endpoint that sent the response. It is empty if the response
 	// came from another node.
 	Endpoint string
+
+	// held is the memory of Body that a collector counts; nil if none does.
+	held *collector.Body
+}
+
+// release ends the counting of the memory of the body, which must not be used afterwards.
+func (r *Response) release() {
+	if r.held != nil {
+		r.held.Release()
+	}
 }
 
 // RefusedError is a refusal with details of how far the request got.
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/gentianlever/gentianlever/internal/budgeter"
+	"github.com/gentianlever/gentianlever/internal/collector"
 	"github.com/gentianlever/gentianlever/internal/exchanger"
 	"github.com/gentianlever/gentianlever/internal/refuser"
 	"github.com/gentianlever/gentianlever/internal/reporter"
@@ -71,6 +72,8 @@
 	View      *View
 	Budget    *budgeter.Budgeter
 	Exchanger *exchanger.Exchanger
+	// Bodies reads the bodies of other nodes' responses.
+	Bodies collector.Collector
 	// RunLocal runs a request at the local endpoint.
 	RunLocal func(ctx context.Context, c *Call, r *http.Request, body func() ([]byte, error)) (*Response, error)
 	// LocalLoad returns the load of the local endpoint.
@@ -103,8 +106,13 @@
 	arrival  time.Time
 	target   time.Time
 	deadline time.Time
-	content  []byte
-	event    Event
+	// callerDeadline is the time until which the caller waits. It is not before deadline.
+	callerDeadline time.Time
+	content        []byte
+	event          Event
+	// responses are those of all attempts that have ended. Their memory is held until the caller
+	// has its response.
+	responses []*Response
 	// excluded holds the IDs of the nodes that get no further attempt: those at which one is in
 	// progress, and those that refused the request or failed it.
 	excluded map[string]bool
@@ -123,6 +131,7 @@
 		s.random = rand.New(rand.NewPCG(s.Seed, s.Seed))
 		s.serviceTimes = make(map[string]time.Duration)
 	})
+	limitWriteTime(w, time.Time{})
 	if s.CloseConnections() {
 		w.Header().Set("Connection", "close")
 	}
@@ -136,6 +145,7 @@
 		ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 		defer cancel()
 		var response *Response
+		defer q.releaseResponses()
 		response, err = s.run(ctx, r, q)
 		s.OnCallFinished(q.parent, time.Since(q.arrival))
 		if err == nil {
@@ -157,9 +167,17 @@
 	if s.CloseConnections() {
 		w.Header().Set("Connection", "close")
 	}
+	limitWriteTime(w, q.callerDeadline.Add(writeMargin))
 	writeResponse(w, response)
 }
 
+// releaseResponses ends the counting of the memory of all responses.
+func (q *request) releaseResponses() {
+	for _, response := range q.responses {
+		response.release()
+	}
+}
+
 // refuse reports the event and sends the refusal to the caller.
 func (s *CallerSide) refuse(w http.ResponseWriter, q *request, err error) {
 	refused := asRefused(err)
@@ -259,8 +277,10 @@
 	route := q.route
 	left := route.Timeout
 	stated, ok := s.Dialect.ParseMillis(r.Header.Get(s.Dialect.Deadline))
+	q.callerDeadline = q.arrival.Add(left)
 	if ok {
 		left = min(left, stated)
+		q.callerDeadline = q.arrival.Add(stated)
 	}
 	q.deadline = q.arrival.Add(left)
 	parent, nested := s.Parent(q.call.ID)
--- a/internal/relayer/endless_node_test.go
+++ b/internal/relayer/endless_node_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/gentianlever/gentianlever/internal/collector"
 	"github.com/gentianlever/gentianlever/internal/exchanger"
 	"github.com/gentianlever/gentianlever/internal/router"
 )
@@ -31,7 +32,7 @@
 	c.Exchanger = &exchanger.Exchanger{
 		ConnectTimeout: time.Second,
 		IdleTimeout:    time.Minute,
-		MaxBodyBytes:   MaxResponseBytes,
+		MaxBodyBytes:   collector.MaxBodyBytes,
 	}
 	w := c.send(http.MethodGet, "/view/1", "")
 	is.Equal(w.Code, http.StatusBadGateway)
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/gentianlever/gentianlever/internal/collector"
 	"github.com/gentianlever/gentianlever/internal/exchanger"
 	"github.com/gentianlever/gentianlever/internal/refuser"
 	"github.com/gentianlever/gentianlever/internal/registrar"
@@ -57,6 +58,8 @@
 	StartProbeLimit time.Duration
 	// MaxBodyBytes returns the maximum size of a request body.
 	MaxBodyBytes func() int64
+	// Bodies reads the bodies of the endpoint's responses.
+	Bodies collector.Collector
 	// OnEvent is called at the end of each request, with the decision on it and its outcome.
 	OnEvent func(e Event)
 	// OnProbe is called after each probe with its error, or nil if the endpoint responded.
@@ -165,6 +168,7 @@
 
 // ServeHTTP handles a request that another node forwards.
 func (s *EndpointSide) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	limitWriteTime(w, time.Time{})
 	token := r.Header.Get(HeaderNodeToken)
 	if subtle.ConstantTimeCompare([]byte(token), []byte(s.NodeToken)) != 1 {
 		writeRefused(w, &RefusedError{Refusal: &refuser.Refusal{Reason: refuser.Unauthenticated}})
@@ -199,11 +203,15 @@
 		writeRefused(w, asRefused(err))
 		return
 	}
+	defer response.release()
 	h := w.Header()
 	for name, values := range response.Header {
 		h[name] = values
 	}
 	h.Set(reporter.Header, response.Load.Encode())
+	if deadline, ok := ctx.Deadline(); ok {
+		limitWriteTime(w, deadline.Add(writeMargin))
+	}
 	writeResponse(w, response)
 }
 
@@ -272,7 +280,7 @@
 	// Completed means a complete response without a server error.
 	Completed Completion = iota
 	// ConnectionBroken means that the exchange failed before a complete response, as it does when
-	// the endpoint crashes. A response above maxResponseBytes counts as one that is not complete.
+	// the endpoint crashes. A response above collector.MaxBodyBytes counts as one that is not complete.
 	ConnectionBroken
 	// Inconclusive means any other end, such as a server error, a timeout or a response without
 	// a signature.
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -10,20 +10,13 @@
 	"strconv"
 	"time"
 
+	"github.com/gentianlever/gentianlever/internal/collector"
 	"github.com/gentianlever/gentianlever/internal/exchanger"
 	"github.com/gentianlever/gentianlever/internal/forwarder"
 	"github.com/gentianlever/gentianlever/internal/refuser"
 	"github.com/gentianlever/gentianlever/internal/registrar"
 )
 
-// MaxResponseBytes limits the response body of an endpoint. It is buffered completely, so that
-// a truncated response is never taken for a complete one. The limit is over a hundred times the
-// largest response of the known services.
-const (
-	MaxResponseBytes = 4 << 20
-	maxResponseBytes = MaxResponseBytes
-)
-
 // maxRefusedIDs limits each of the two sets of IDs of requests that the endpoint refused.
 const maxRefusedIDs = 1024
 
@@ -57,30 +50,32 @@
 	s.recordLoad(resp.Header)
 	s.recordLimit(resp.Header, false)
 	s.recordLeaving(resp, endpoint)
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	_ = resp.Body.Close()
+	body, err := s.Bodies.Collect(ctx, resp)
 	e.Duration = time.Since(sent)
 	if err != nil {
 		return nil, s.exchangeFailure(ctx, err)
 	}
 	if s.Dialect.NotRun(resp) && s.isFirstRefusal(c.ID) {
+		body.Release()
 		return nil, s.shedRefusal(resp, endpoint)
 	}
-	if problem := s.invalidResponse(resp, b); problem != "" {
+	if problem := s.invalidResponse(resp, body.Bytes); problem != "" {
+		body.Release()
 		return nil, &RefusedError{
 			Refusal: &refuser.Refusal{
 				Reason: refuser.EndpointFailed,
 				Detail: problem,
 			},
 			Arrived:  true,
-			Complete: len(b) <= maxResponseBytes,
+			Complete: len(body.Bytes) <= collector.MaxBodyBytes,
 		}
 	}
 	return &Response{
 		Status:   resp.StatusCode,
 		Header:   forwarder.ForwardedHeader(resp.Header),
-		Body:     b,
+		Body:     body.Bytes,
 		Endpoint: endpoint.ID,
+		held:     body,
 	}, nil
 }
 
@@ -94,7 +89,7 @@
 		return "the response implies without evidence that the request did not run"
 	case success && !s.Dialect.Signed(resp.Header):
 		return "the response lacks the endpoint's signature"
-	case len(b) > maxResponseBytes:
+	case len(b) > collector.MaxBodyBytes:
 		return "the response body exceeds the size limit"
 	case resp.Header.Get("Content-Encoding") != "":
 		return "the response has a content encoding"
@@ -215,6 +210,17 @@
 	}
 }
 
+// writeMargin is the time after the deadline of a request in which its response may still be
+// written. A receiver that reads slowly holds the memory of the response no longer.
+const writeMargin = 2 * time.Second
+
+// limitWriteTime sets the time until which the response may be written; zero means no limit, and
+// also ends the limit of the connection's previous response.
+func limitWriteTime(w http.ResponseWriter, until time.Time) {
+	// Only a ResponseWriter without a connection, as in tests, does not support it.
+	_ = http.NewResponseController(w).SetWriteDeadline(until)
+}
+
 // writeResponse sends a complete response and sets its length.
 func writeResponse(w http.ResponseWriter, response *Response) {
 	h := w.Header()
--- a/internal/relayer/retry.go
+++ b/internal/relayer/retry.go
@@ -163,6 +163,7 @@
 	a.inProgress = slices.DeleteFunc(a.inProgress, func(p inProgress) bool { return p.node == r.node })
 	q.event.Attempts = append(q.event.Attempts, r.log)
 	if r.response != nil {
+		q.responses = append(q.responses, r.response)
 		a.served = &r
 		if r.response.Status < http.StatusInternalServerError {
 			return true
@@ -222,6 +223,9 @@
 func (q *request) awaitCancelled(a *attempts) {
 	for range a.inProgress {
 		r := <-a.results
+		if r.response != nil {
+			q.responses = append(q.responses, r.response)
+		}
 		q.event.Attempts = slices.Insert(q.event.Attempts, max(len(q.event.Attempts)-1, 0), r.log)
 	}
 }
--- a/internal/validator/sidecar.go
+++ b/internal/validator/sidecar.go
@@ -4,7 +4,10 @@
 	"encoding/json"
 	"log/slog"
 	"net/netip"
+	"strconv"
 	"time"
+
+	"github.com/gentianlever/gentianlever/internal/collector"
 )
 
 // Limits of the settings of a sidecar.
@@ -12,6 +15,7 @@
 	maxBoundsDuration = time.Hour
 	maxRetrySlack     = 1e6
 	maxRetryRatio     = 100
+	maxResponseMemory = 1 << 30
 )
 
 // SidecarSettings holds the settings of a sidecar: a node that reads its routing table from the
@@ -43,6 +47,9 @@
 	// MembershipKey authenticates messages between nodes.
 	MembershipKey  []byte
 	OperatorLimits OperatorLimits
+	// ResponseMemory is the total size, in bytes, of the response bodies above 64 KiB that the node
+	// holds at one time for its callers, and the same again for its endpoint.
+	ResponseMemory int64
 	LogLevel       slog.Level
 }
 
@@ -148,6 +155,17 @@
 		},
 		set: func(v *value, s *SidecarSettings) { s.OperatorLimits = decodeObject(v, operatorLimitFields) },
 	},
+	{
+		Field: Field{
+			Name:    "response-memory",
+			Type:    "integer",
+			Default: strconv.Itoa(collector.DefaultLimit),
+			Help:    "bytes of response bodies above 64 KiB that the node holds at one time for its callers, and the same again for its endpoint; further ones wait to be read, from " + strconv.Itoa(collector.MaxBodyBytes) + " to " + strconv.Itoa(maxResponseMemory),
+		},
+		set: func(v *value, s *SidecarSettings) {
+			s.ResponseMemory = v.integer(collector.MaxBodyBytes, maxResponseMemory)
+		},
+	},
 	{
 		Field: Field{
 			Name:    "log-level",
