Write a departure again until the store has taken it

An operator of a similar system reported that a server that had left was in use again after a restart of one of the system's processes. It can happen here: a departure takes effect on the node beside the endpoint at once, but its row was written only once, within 0.5 s. If the store was down at that moment, the node that restarted after the outage did not know of the departure, and a delayed report of the endpoint made it available again.

A failed write is now repeated with a delay of 0.5 s to 8 s until it succeeds, by one goroutine a node; the row has a key of its own, so a repeated write changes nothing. The log says when it was recorded (departure-recorded).

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -127,6 +127,7 @@
 	p.Go(n.follower.Run)
 	p.Go(n.runMembership)
 	p.Go(n.restoreDepartures)
+	p.Go(n.recordLateDepartures)
 	p.Go(n.restorer.Run)
 	p.Go(n.probeWhenDue)
 	p.Go(n.watchSettings)
@@ -147,6 +148,7 @@
 func (n *Conductor) build() {
 	s := n.Settings
 	n.startedAt = time.Now()
+	n.unrecorded = make(chan registrar.Departure, maxUnrecorded)
 	n.incarnation = uint64(n.startedAt.UnixNano())
 	n.operatorLimits.Store(&s.OperatorLimits)
 	n.dialect = platform.Dialect()
--- a/internal/conductor/endpoint.go
+++ b/internal/conductor/endpoint.go
@@ -19,6 +19,12 @@
 	// departureWriteTimeout limits the write of a departure's row. The endpoint waits for it,
 	// and a confirmation that takes a second or more is late.
 	departureWriteTimeout = 500 * time.Millisecond
+	// departureRetryDelay is the time after which a failed write of a departure is repeated. It
+	// doubles with each failure, up to maxDepartureRetryDelay.
+	departureRetryDelay    = 500 * time.Millisecond
+	maxDepartureRetryDelay = 8 * time.Second
+	// maxUnrecorded limits the departures that wait for a repeated write.
+	maxUnrecorded = 64
 	// restoreTimeout is the time after startup at which the node begins to use the endpoint
 	// even if the departures recorded before the start could not be read.
 	restoreTimeout = 2 * time.Second
@@ -36,6 +42,8 @@
 	departuresRestored atomic.Bool
 	// startedAt is the start of the node.
 	startedAt time.Time
+	// unrecorded are the departures whose rows could not be written yet.
+	unrecorded chan registrar.Departure
 }
 
 // departurePartition returns the partition that holds the departures of the node's endpoints.
@@ -123,13 +131,47 @@
 }
 
 // recordDeparture stores a departure, so that it is known after a restart of the node. It is
-// already in effect on this node; a failed write matters only if the node restarts before the
-// endpoint exits.
+// already in effect on this node; until a failed write succeeds, a restart of the node forgets it.
 func (n *Conductor) recordDeparture(d registrar.Departure) {
+	if n.writeDeparture(d) {
+		return
+	}
+	select {
+	case n.unrecorded <- d:
+	default:
+		// More departures than a node gets in minutes wait already.
+	}
+}
+
+// writeDeparture writes the row of a departure, and reports whether it succeeded.
+func (n *Conductor) writeDeparture(d registrar.Departure) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), departureWriteTimeout)
 	defer cancel()
 	if err := n.table.Write(ctx, []storer.Write{n.departureWrite(d)}); err != nil {
 		n.Log.Warn(recorder.DepartureNotRecorded, "endpoint", d.ID, "error", err.Error())
+		return false
+	}
+	return true
+}
+
+// recordLateDepartures writes the departures whose first write failed, one after another, until the
+// store has taken them. Each write is idempotent.
+func (n *Conductor) recordLateDepartures(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case d := <-n.unrecorded:
+			for delay := departureRetryDelay; ; delay = min(2*delay, maxDepartureRetryDelay) {
+				if !sleeper.Sleep(ctx, delay) {
+					return nil
+				}
+				if n.writeDeparture(d) {
+					n.Log.Info(recorder.DepartureRecorded, "endpoint", d.ID)
+					break
+				}
+			}
+		}
 	}
 }
 
--- a/internal/recorder/events.go
+++ b/internal/recorder/events.go
@@ -34,6 +34,7 @@
 	DepartureUnreadable  Event = "departure-unreadable"
 	DeparturesUnknown    Event = "departures-unknown"
 	DepartureNotRecorded Event = "departure-not-recorded"
+	DepartureRecorded    Event = "departure-recorded"
 	ProbeFailed          Event = "probe-failed"
 	RateLimitChanged     Event = "rate-limit-changed"
 	RequestMalformed     Event = "request-malformed"
@@ -194,7 +195,12 @@
 	{
 		Name:   DepartureNotRecorded,
 		Fields: []string{"endpoint", "error"},
-		Help:   "a departure is in effect, but its row could not be written",
+		Help:   "a departure is in effect, but its row could not be written; the write is repeated until it succeeds",
+	},
+	{
+		Name:   DepartureRecorded,
+		Fields: []string{"endpoint"},
+		Help:   "the row of a departure was written after departure-not-recorded",
 	},
 	{
 		Name:   ProbeFailed,
