End connections in a planned stop without cutting off requests that were read

An operator of a similar system reported that requests that had just been accepted were cut off without an answer during a planned stop under load. It can happen here, on both paths of a request: the listeners were ended by http.Server.Shutdown. That closes a connection as idle until the head of a request has been parsed, and after it was called, the server reads the next request of each open connection and drops it without a response. A caller can't tell whether such a request ran; one that may run once only is lost.

FinishingListener ends connections itself before the server is shut down. It keeps, for each connection, whether bytes have been read since the last response. Connections without a request get a read deadline in the past, so that a blocked read ends without taking a byte; the others end after their response.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -352,7 +352,7 @@
 
 // listener is a bound address with its HTTP server.
 type listener struct {
-	net.Listener
+	forwarder.FinishingListener
 	server *http.Server
 }
 
@@ -427,7 +427,7 @@
 			return nil, errors.Wrapf(err, "settings: address %s can't be bound", b.address)
 		}
 		*b.target = &listener{
-			Listener: bound,
+			FinishingListener: forwarder.FinishingListener{Listener: bound},
 			server: &http.Server{
 				Handler:           b.handler,
 				ReadHeaderTimeout: readHeaderTimeout,
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -271,9 +271,13 @@
 const maxTableBytes = 4 << 20
 
 // nodesHandler handles requests from other nodes: messages, fetches of the routing table, and
-// requests for the local endpoint.
+// requests for the local endpoint. In a planned stop, other nodes are told to close their connections
+// before this node does, because a request that is on its way then has an unknown outcome.
 func (n *Conductor) nodesHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.endpointClosed.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		service := n.nodes.Load()
 		switch {
 		case service == nil:
--- a/internal/conductor/shutdown.go
+++ b/internal/conductor/shutdown.go
@@ -45,9 +45,8 @@
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-exitMargin))
 	defer cancel()
 	for _, open := range []*listener{l.callers, l.nodes, l.reports, l.ready, l.metrics} {
-		if err := open.server.Shutdown(ctx); err != nil {
+		if err := open.Shutdown(ctx, open.server); err != nil {
 			n.Log.Warn(recorder.ListenerNotFinished, "address", open.Addr().String(), "error", err.Error())
-			_ = open.server.Close()
 		}
 	}
 	n.nodeExchanger.CloseIdle()
--- /dev/null
+++ b/internal/forwarder/finishing.go
@@ -0,0 +1,202 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// FinishingListener ends the connections of a server in a planned stop without cutting off a request.
+// http.Server.Shutdown does cut some off: it closes a connection as idle until the head of a request
+// has been parsed, and it drops each request that is read completely after it was called. The caller
+// then can't tell whether the request ran. Set Listener before use.
+type FinishingListener struct {
+	net.Listener
+
+	once     sync.Once
+	mu       sync.Mutex
+	stopping bool
+	open     map[*finishingConn]bool
+	// finished is closed once no connection is open after the beginning of the stop, and closed when
+	// Close was called.
+	finished chan struct{}
+	closed   chan struct{}
+}
+
+func (l *FinishingListener) initialize() {
+	l.once.Do(func() {
+		l.open = make(map[*finishingConn]bool)
+		l.finished = make(chan struct{})
+		l.closed = make(chan struct{})
+	})
+}
+
+// Accept returns the next connection. After Shutdown it waits for Close.
+func (l *FinishingListener) Accept() (net.Conn, error) {
+	l.initialize()
+	conn, err := l.Listener.Accept()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		if l.stopping {
+			l.mu.Unlock()
+			<-l.closed
+			l.mu.Lock()
+		}
+		return nil, err
+	}
+	c := &finishingConn{
+		Conn:     conn,
+		listener: l,
+		stopping: l.stopping,
+	}
+	l.open[c] = true
+	return c, nil
+}
+
+// Close closes the listener.
+func (l *FinishingListener) Close() error {
+	l.initialize()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	if l.stopping {
+		// finish has closed it.
+		return nil
+	}
+	return l.Listener.Close()
+}
+
+// Shutdown shuts down the server of the listener. It accepts no more connections, ends those on which
+// no request has begun, and waits until the responses to all others have been written. If ctx ends
+// first, it cuts off the requests that are left. A request that has not been read when its connection
+// ends has certainly not run.
+func (l *FinishingListener) Shutdown(ctx context.Context, server *http.Server) error {
+	err := l.finish(ctx)
+	if err == nil {
+		err = server.Shutdown(ctx)
+	}
+	if err != nil {
+		_ = server.Close() // err says more
+	}
+	return err
+}
+
+// finish does the work of Shutdown, but for that of the server.
+func (l *FinishingListener) finish(ctx context.Context) error {
+	l.initialize()
+	l.mu.Lock()
+	l.stopping = true
+	err := l.Listener.Close()
+	var open []*finishingConn
+	for c := range l.open {
+		open = append(open, c)
+	}
+	if len(open) == 0 {
+		close(l.finished)
+	}
+	l.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	for _, c := range open {
+		c.stop()
+	}
+	select {
+	case <-l.finished:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// remove removes a connection that has been closed.
+func (l *FinishingListener) remove(c *finishingConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.open[c] {
+		return
+	}
+	delete(l.open, c)
+	if l.stopping && len(l.open) == 0 {
+		close(l.finished)
+	}
+}
+
+// finishingConn is a connection that knows whether a request on it has begun and has no response yet.
+type finishingConn struct {
+	net.Conn
+	listener *FinishingListener
+
+	mu sync.Mutex
+	// stopping is set once the connection is to end after the current request, if there is one, and
+	// begun while bytes have been read since the last response.
+	stopping bool
+	begun    bool
+}
+
+// expired is a read deadline that ends a read at once, without a byte that has not been read.
+var expired = time.Unix(1, 0)
+
+// stop ends the connection, or has it end after the current request. The server closes it when its
+// read fails.
+func (c *finishingConn) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+	if !c.begun {
+		// A connection that is closed already has no deadline to be set.
+		_ = c.Conn.SetReadDeadline(expired)
+	}
+}
+
+// Read reads from the connection.
+func (c *finishingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		c.begun = true
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// Write writes to the connection.
+func (c *finishingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	c.begun = false
+	c.mu.Unlock()
+	return n, err
+}
+
+// SetReadDeadline sets the read deadline. Between requests of a connection that is to end, reads fail at
+// once.
+func (c *finishingConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopping && !c.begun {
+		t = expired
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite closes the sending side, so that net/http can end a connection without a reset.
+func (c *finishingConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection.
+func (c *finishingConn) Close() error {
+	c.listener.remove(c)
+	return c.Conn.Close()
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -113,15 +113,15 @@
 	n.drainer.Announce = func(context.Context) { n.announcer.Drain() }
 	n.drainer.OnError = func(err error) { n.Log.Warn("shutdown step failed", "error", err) }
 	callers, nodes, admin := listeners[0], listeners[1], listeners[2]
-	n.drainer.Close = []func(context.Context) error{callers.server.Shutdown, n.forwardedCalls.wait}
+	n.drainer.Close = []func(context.Context) error{callers.shutDown, n.forwardedCalls.wait}
 	n.drainer.Flush = []func(context.Context) error{n.claimer.Flush}
 	// Other nodes query the status of claims until the last outcome is recorded.
-	n.drainer.CloseLast = []func(context.Context) error{nodes.server.Shutdown}
+	n.drainer.CloseLast = []func(context.Context) error{nodes.shutDown}
 	n.drainer.Run()
 	n.nodeExchanger.CloseIdle()
 	n.endpointExchanger.CloseIdle()
 	// The administration API stays available until the other listeners are closed.
-	if err := admin.server.Shutdown(context.Background()); err != nil {
+	if err := admin.shutDown(context.Background()); err != nil {
 		n.Log.Warn("listener did not close", "address", admin.Addr().String(), "error", err)
 	}
 	n.leave()
@@ -182,10 +182,13 @@
 
 // listener is a bound address with its HTTP server.
 type listener struct {
-	net.Listener
+	forwarder.FinishingListener
 	server *http.Server
 }
 
+// shutDown ends the connections and stops the server.
+func (l *listener) shutDown(ctx context.Context) error { return l.Shutdown(ctx, l.server) }
+
 func (l *listener) serve() error {
 	if err := l.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrapf(err, "serve %s", l.Addr())
@@ -240,7 +243,7 @@
 			return nil, errors.Wrapf(err, "settings: address %s can't be bound", b.address)
 		}
 		listeners = append(listeners, &listener{
-			Listener: l,
+			FinishingListener: forwarder.FinishingListener{Listener: l},
 			server: &http.Server{
 				Handler:           b.handler,
 				ReadHeaderTimeout: readHeaderTimeout,
