Hedge slow attempts on the platform's path, by one decision for both paths

The platform's path sent a second copy only where a node had become unresponsive.

The histogram and the decision leave retrier for the package hedger, which both paths use: when (the observed distribution of the route, the time to the target and the deadline; half of the target while there are too few samples), and whether an endpoint has a slot to spare. On the platform's path a hedge runs only where at most half of the slots are in use, asked at the caller's node and again at the endpoint's, and within the retry budget of all nodes; the loser is cancelled. Requests that may run once, large responses and calls of retried requests are never hedged. The budget ends hedges before retries of failed requests, and those before retries of calls (0.34, 0.53 and 0.75 of it; before 0.45 for requests of callers). A hedge that no endpoint has seen is given back. The log says why one was not sent (no-hedge).

Tests of silent nodes now set a target of 2 s, so that the node still counts as unresponsive before a hedge is due; what they require is unchanged. TestServerErrorReachesTheCallerBeforeItsDeadline has a second case, which found that a served error was held back until the deadline when the attempt that was hedged became unresponsive later. TestBudgetIsReservedForNestedCalls counts the new shares.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -12,9 +12,12 @@
 	// count: windows that are not aligned between nodes, and nested calls of a retried request
 	// that are not recognised as such.
 	usableShare = 0.75
-	// callersShare is the share of the usable budget that requests of callers may spend. The
+	// callersShare is the share of the usable budget that retries of callers' requests may spend. The
 	// rest is reserved for nested calls, whose failure would waste the run of their caller.
-	callersShare = 0.6
+	callersShare = 0.7
+	// hedgesShare is the share of the callers' budget up to which hedges are sent. The rest is for
+	// requests that have failed.
+	hedgesShare = 0.65
 	// slices is the number of parts of the sliding window. More slices don't change the sum
 	// that is spent, but make old counts expire more evenly.
 	slices = 10
@@ -23,6 +26,30 @@
 	maxServices = 1000
 )
 
+// Purpose is what a retry is for.
+type Purpose uint8
+
+// The purposes. When the budget runs short, hedges end first and the retries of nested calls last.
+const (
+	// Hedge is a second copy of a request that has not failed.
+	Hedge Purpose = iota + 1
+	// CallersRetry is a retry of a request of a caller that has failed.
+	CallersRetry
+	// NestedRetry is a retry of a call, made by a running request, that has failed.
+	NestedRetry
+)
+
+// share returns the share of the usable budget up to which retries of the purpose are sent.
+func (p Purpose) share() float64 {
+	switch p {
+	case Hedge:
+		return callersShare * hedgesShare
+	case CallersRetry:
+		return callersShare
+	}
+	return 1
+}
+
 // Budgeter counts requests and retries per service. Set the exported fields before use.
 type Budgeter struct {
 	// Ratio is the number of retries per request over all nodes, and Slack the number of
@@ -70,24 +97,35 @@
 	w.retries[w.slice%slices]++
 }
 
-// TryRetry takes one retry from the budget and reports whether the budget allowed it. nested marks
-// a call made by a running request.
-func (b *Budgeter) TryRetry(service string, nested bool, now time.Time) bool {
+// TryRetry takes one retry from the budget and reports whether the budget allowed it.
+func (b *Budgeter) TryRetry(service string, purpose Purpose, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
 	requests, retries := sum(w.requests), sum(w.retries)
 	maxRetries := usableShare * (b.Ratio*float64(requests) + b.Slack/float64(max(b.Nodes(), 1)))
-	if !nested {
-		maxRetries *= callersShare
-	}
-	if float64(retries+1) > maxRetries {
+	if float64(retries+1) > maxRetries*purpose.share() {
 		return false
 	}
 	w.retries[w.slice%slices]++
 	return true
 }
 
+// Return gives back a retry that TryRetry took and that reached no endpoint.
+func (b *Budgeter) Return(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, now)
+	for i := range w.retries {
+		// The retry was taken in this slice or in an earlier one.
+		slice := (w.slice + slices - int64(i)) % slices
+		if w.retries[slice] > 0 {
+			w.retries[slice]--
+			return
+		}
+	}
+}
+
 func sum(counts [slices]int) int {
 	total := 0
 	for _, n := range counts {
--- a/internal/conductor/observe.go
+++ b/internal/conductor/observe.go
@@ -144,6 +144,9 @@
 	if e.NoRetry != "" {
 		attrs = append(attrs, slog.String("no-retry", string(e.NoRetry)))
 	}
+	if e.NoHedge != "" {
+		attrs = append(attrs, slog.String("no-hedge", string(e.NoHedge)))
+	}
 	attrs = append(attrs, slog.Any("attempts", formatAttempts(e.Attempts)))
 	n.Log.LogAttrs(context.Background(), level, recorder.CallerRequest, attrs...)
 }
@@ -156,6 +159,9 @@
 	for _, a := range attempts {
 		line := fmt.Sprintf("%s started=%s expected=%s age=%s load=%d+%d/%d slowness=%d took=%s %s",
 			a.Node, a.Started, a.Expected, a.Age, a.Load.InFlight, a.Load.QueuedShort, a.Load.Slots, a.Load.Slowness, a.Took, a.Outcome)
+		if a.Hedge {
+			line += " hedge"
+		}
 		if a.Unresponsive {
 			line += " unresponsive"
 		}
--- a/internal/retrier/histogram.go
+++ b/internal/hedger/latencies.go
@@ -1,4 +1,4 @@
-package retrier
+package hedger
 
 import (
 	"math"
@@ -11,9 +11,9 @@
 	histogramBuckets = 64
 	histogramRatio   = 1.25
 	minLatency       = 50 * time.Microsecond
-	// windowSize is the number of samples after which all counts are halved, so that the
+	// WindowSize is the number of samples after which all counts are halved, so that the
 	// estimate follows a change within about as many calls.
-	windowSize = 1024
+	WindowSize = 1024
 	// halvingInterval is the time after which counts are halved if their sum is at least
 	// minWindowSize. With a limit on samples only, a node with 300 calls per
 	// second still used the latencies of a peak 7 s after it and hedged too late.
@@ -25,23 +25,24 @@
 
 var logRatio = math.Log(histogramRatio)
 
-// latencyHistogram is a decaying histogram of latencies with logarithmic buckets. The
-// relative error of its quantiles is less than the ratio of adjacent buckets.
-type latencyHistogram struct {
+// Latencies is a decaying histogram of the latencies of one kind of request, with logarithmic
+// buckets. The relative error of its quantiles is less than the ratio of adjacent buckets. It is not
+// safe for concurrent use. The zero value is empty.
+type Latencies struct {
 	counts   [histogramBuckets]float32
 	total    float32
 	halvedAt time.Time
 }
 
-// observe adds a sample, and halves all counts if they are to lose weight.
-func (h *latencyHistogram) observe(latency time.Duration, now time.Time) {
+// Observe adds a sample, and halves all counts if they are to lose weight.
+func (h *Latencies) Observe(latency time.Duration, now time.Time) {
 	i := 0
 	if latency > minLatency {
 		i = min(histogramBuckets-1, int(math.Log(float64(latency)/float64(minLatency))/logRatio)+1)
 	}
 	h.counts[i]++
 	h.total++
-	if h.total < windowSize && (h.total < minWindowSize || now.Sub(h.halvedAt) < halvingInterval) {
+	if h.total < WindowSize && (h.total < minWindowSize || now.Sub(h.halvedAt) < halvingInterval) {
 		return
 	}
 	h.halvedAt = now
@@ -51,8 +52,8 @@
 	h.total /= 2
 }
 
-// quantile returns the estimate of a quantile, and false if there are too few samples.
-func (h *latencyHistogram) quantile(q float64) (time.Duration, bool) {
+// Quantile returns the estimate of a quantile, and false if there are too few samples.
+func (h *Latencies) Quantile(q float64) (time.Duration, bool) {
 	if h.total < minSamples {
 		return 0, false
 	}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gentianlever/gentianlever/internal/exchanger"
@@ -13,19 +14,22 @@
 	"github.com/gentianlever/gentianlever/internal/reporter"
 )
 
-// chooseEndpoint selects the endpoint for the next attempt and sets q.call.NoAlternative. It
-// returns false if there is none.
-func (s *CallerSide) chooseEndpoint(q *request) (candidate, placer.Estimate, bool) {
+// chooseEndpoint selects the endpoint for the next attempt, of those that suit it, and sets
+// q.call.NoAlternative. It returns false if there is none.
+func (s *CallerSide) chooseEndpoint(q *request, suits func(c candidate) bool) (candidate, placer.Estimate, bool) {
 	now := time.Now()
 	if q.call.Service == s.Service {
 		s.View.Report(s.Node, s.LocalLoad(), now)
 	}
 	candidates := s.View.candidates(q.call.Service, q.excluded, now)
+	if suits != nil {
+		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return !suits(c) })
+	}
 	options := make([]placer.Candidate, len(candidates))
 	for i := range candidates {
 		candidates[i].Distance = s.Distance(candidates[i].peer.Zone)
 		if candidates[i].Distance > 0 {
-			candidates[i].TransferTime = fromMicros(q.call.DefaultServiceTime)/crossZoneDivisor + time.Duration(len(q.content)>>10)*transferPerKiB
+			candidates[i].TransferTime = q.transferTime()
 		}
 		options[i] = candidates[i].Candidate
 	}
@@ -39,6 +43,13 @@
 	return candidates[i], estimate, true
 }
 
+// transferTime returns the cost of sending a request to another zone, expressed as a time: a fixed one
+// and one for its bytes.
+func (q *request) transferTime() time.Duration {
+	kib := float64(len(q.content)) / 1024
+	return fromMicros(q.call.DefaultServiceTime)/crossZoneDivisor + time.Duration(kib*float64(transferPerKiB))
+}
+
 // attempt sends a request to the node of one endpoint. unresponsive receives the node's ID if it
 // becomes unresponsive meanwhile and the request may be hedged.
 func (s *CallerSide) attempt(ctx context.Context, r *http.Request, q *request, call Call, c candidate, estimate placer.Estimate, unresponsive chan<- string) result {
@@ -72,6 +83,7 @@
 			Load:     c.Load,
 			Took:     now.Sub(started),
 			Outcome:  OutcomeAnswered,
+			Hedge:    call.Hedge,
 		},
 	}
 	var load reporter.Load
@@ -119,24 +131,6 @@
 	return false
 }
 
-// observeServiceTime updates the moving average of a route's service time, in which a new sample
-// has a weight of 1/20. Samples are the durations of successful attempts, with queue wait and
-// transfer. They are capped at twice the average, so that slow endpoints raise it only gradually.
-func (s *CallerSide) observeServiceTime(route string, took time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.serviceTimes) > maxRoutes {
-		clear(s.serviceTimes)
-	}
-	old, ok := s.serviceTimes[route]
-	if !ok {
-		s.serviceTimes[route] = took
-		return
-	}
-	took = min(took, 2*old)
-	s.serviceTimes[route] = old + (took-old)/20
-}
-
 // send passes a request to the node of an endpoint, or runs it at the local endpoint.
 func (s *CallerSide) send(ctx context.Context, r *http.Request, content []byte, call *Call, c candidate) (*Response, error) {
 	if c.peer.ID == s.Node {
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -42,6 +42,8 @@
 	TimeLeft   int64 `json:"time-left"`
 	// Attempt is one more than the number of earlier attempts that may have reached an endpoint.
 	Attempt int `json:"attempt"`
+	// Hedge is set on a second copy of a request that has not failed.
+	Hedge bool `json:"hedge,omitempty"`
 	// ParentRetried is the value of Parent.Retried for a nested call.
 	ParentRetried bool `json:"repeated,omitempty"`
 	// NoAlternative is set if the sender has no other endpoint for the request, or if so many
@@ -67,6 +69,7 @@
 		Target:             now.Add(fromMicros(c.TargetLeft)),
 		Deadline:           now.Add(fromMicros(c.TimeLeft)),
 		NoAlternative:      c.NoAlternative,
+		Hedge:              c.Hedge,
 		DefaultServiceTime: fromMicros(c.DefaultServiceTime),
 	}
 }
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -94,8 +94,8 @@
 	once      sync.Once
 	mu        sync.Mutex
 	random    *rand.Rand
-	// serviceTimes holds the average service time of each route (see observeServiceTime).
-	serviceTimes map[string]time.Duration
+	// routes holds what was observed of each route, by name.
+	routes map[string]*routeSamples
 }
 
 // request is the state of one request in progress.
@@ -129,7 +129,7 @@
 func (s *CallerSide) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.once.Do(func() {
 		s.random = rand.New(rand.NewPCG(s.Seed, s.Seed))
-		s.serviceTimes = make(map[string]time.Duration)
+		s.routes = make(map[string]*routeSamples)
 	})
 	limitWriteTime(w, time.Time{})
 	if s.CloseConnections() {
@@ -296,9 +296,9 @@
 	}
 	s.mu.Lock()
 	service := s.Splitter.Choose(route, s.random.IntN(1<<20))
-	expected, sampled := s.serviceTimes[route.Name]
+	expected := s.samplesOf(route.Name).serviceTime
 	s.mu.Unlock()
-	if !sampled {
+	if expected == 0 {
 		expected = route.Target / defaultServiceTimeDivisor
 	}
 	q.call.Service = service
@@ -310,10 +310,6 @@
 	q.call.Attempt = 1
 }
 
-// maxRoutes limits the memory that CallerSide.serviceTimes holds for routes that are no longer in
-// the table.
-const maxRoutes = 10000
-
 // readBody reads the body of a request into q.content. A limit of zero means DefaultBodyBytes.
 func (s *CallerSide) readBody(w http.ResponseWriter, r *http.Request, q *request, limit int64) error {
 	if limit <= 0 {
--- a/internal/relayer/event.go
+++ b/internal/relayer/event.go
@@ -59,6 +59,9 @@
 	// NoRetry is, on the caller side, the last reason why no attempt followed. It is empty if
 	// there was none. A request with one may still be served by an attempt in progress.
 	NoRetry NoRetry
+	// NoHedge is, on the caller side, the reason why an attempt that took long was not hedged. It
+	// is empty if none took long, or one was hedged.
+	NoHedge NoRetry
 }
 
 // NoRetry is a reason why the caller side makes no further attempt.
@@ -83,6 +86,8 @@
 	RetryBudgetUsed NoRetry = "budget-used"
 	// RetryNoEndpoint means that no other endpoint of the service is known.
 	RetryNoEndpoint NoRetry = "no-endpoint"
+	// RetryNoSpareSlot means that no other endpoint has a slot to spare for a hedge.
+	RetryNoSpareSlot NoRetry = "no-spare-slot"
 )
 
 // Attempt is one attempt of the caller side at the node of an endpoint.
@@ -99,6 +104,8 @@
 	// status, or the reason of a refusal.
 	Took    time.Duration
 	Outcome string
+	// Hedge is set on a second copy of a request whose first attempt had not failed.
+	Hedge bool
 	// Unresponsive is set if the node became unresponsive during the attempt.
 	Unresponsive bool
 }
--- a/internal/relayer/hedge_failure_test.go
+++ b/internal/relayer/hedge_failure_test.go
@@ -41,6 +41,7 @@
 	c := newTestCaller(t, router.Idempotent, outcome{status: http.StatusOK})
 	c.Exchanger = &exchanger.Exchanger{}
 	c.Table().Routes[0].Timeout = 2 * time.Second
+	c.Table().Routes[0].Target = 2 * time.Second
 	c.Table().Routes[0].MaxAttempts = 3
 	fail := make(chan struct{})
 	c.View.SetPeers([]Peer{peer("a", 1, true), failingPeer(t, "b", fail)})
@@ -74,6 +75,7 @@
 	c := newTestCaller(t, router.Idempotent, outcome{status: http.StatusOK})
 	c.Exchanger = &exchanger.Exchanger{}
 	c.Table().Routes[0].Timeout = 2 * time.Second
+	c.Table().Routes[0].Target = 2 * time.Second
 	c.Table().Routes[0].MaxAttempts = 3
 	fail := make(chan struct{})
 	silent := failingPeer(t, "b", fail)
@@ -114,6 +116,7 @@
 	c := newTestCaller(t, router.Idempotent, outcome{status: http.StatusOK})
 	c.Exchanger = &exchanger.Exchanger{}
 	c.Table().Routes[0].Timeout = 2 * time.Second
+	c.Table().Routes[0].Target = 2 * time.Second
 	refuse := make(chan struct{})
 	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		<-refuse
@@ -141,16 +144,20 @@
 }
 
 // Guards against passing an endpoint's server error on only when the caller's deadline has passed,
-// because an attempt at a silent node is awaited until then.
+// because an attempt at a silent node is awaited until then, whether the hedge was sent because the
+// node was silent or before that because the attempt took long.
 func TestServerErrorReachesTheCallerBeforeItsDeadline(t *testing.T) {
-	is := is.New(t)
-	c := newTestCaller(t, router.Idempotent, outcome{status: http.StatusInternalServerError})
-	c.Exchanger = &exchanger.Exchanger{}
-	c.Table().Routes[0].Timeout = 2 * time.Second
-	c.View.SetPeers([]Peer{peer("a", 1, true), quietPeer(t, "b", 10*time.Second, make(chan string, 10))})
-	runMonitor(t, c.View)
-	is.Equal(c.send(http.MethodGet, "/view/1", "").Code, http.StatusInternalServerError)
-	is.True(c.events[0].Duration < 2*time.Second)
+	for _, target := range []time.Duration{2 * time.Second, 200 * time.Millisecond} {
+		is := is.New(t)
+		c := newTestCaller(t, router.Idempotent, outcome{status: http.StatusInternalServerError})
+		c.Exchanger = &exchanger.Exchanger{}
+		c.Table().Routes[0].Timeout = 2 * time.Second
+		c.Table().Routes[0].Target = target
+		c.View.SetPeers([]Peer{peer("a", 1, true), quietPeer(t, "b", 10*time.Second, make(chan string, 10))})
+		runMonitor(t, c.View)
+		is.Equal(c.send(http.MethodGet, "/view/1", "").Code, http.StatusInternalServerError)
+		is.True(c.events[0].Duration < 2*time.Second)
+	}
 }
 
 // Guards against a request that waits for its deadline at a node that has failed, because no other
@@ -160,6 +167,7 @@
 	c := newTestCaller(t, router.Idempotent, outcome{status: http.StatusOK})
 	c.Exchanger = &exchanger.Exchanger{}
 	c.Table().Routes[0].Timeout = 2 * time.Second
+	c.Table().Routes[0].Target = 2 * time.Second
 	silent := quietPeer(t, "b", 10*time.Second, make(chan string, 10))
 	c.View.SetPeers([]Peer{silent})
 	runMonitor(t, c.View)
@@ -174,6 +182,7 @@
 	c := newTestCaller(t, router.Idempotent, outcome{status: http.StatusOK})
 	c.Exchanger = &exchanger.Exchanger{}
 	c.Table().Routes[0].Timeout = 2 * time.Second
+	c.Table().Routes[0].Target = 2 * time.Second
 	silent := quietPeer(t, "b", 10*time.Second, make(chan string, 10))
 	c.View.SetPeers([]Peer{peer("a", 1, true), silent})
 	runMonitor(t, c.View)
--- a/internal/relayer/hedge_test.go
+++ b/internal/relayer/hedge_test.go
@@ -91,6 +91,7 @@
 			c := newTestCaller(t, router.Idempotent, outcome{err: refused(refuser.QueueFull, "", false)})
 			c.Exchanger = &exchanger.Exchanger{}
 			c.Table().Routes[0].Timeout = 2 * time.Second
+			c.Table().Routes[0].Target = 2 * time.Second
 			cancelled := make(chan string, 10)
 			// The local endpoint is draining, so the first attempt goes to the peer.
 			c.View.SetPeers([]Peer{peer("a", 1, true), quietPeer(t, "b", workTime, cancelled)})
@@ -113,6 +114,7 @@
 	c := newTestCaller(t, router.Idempotent, outcome{status: http.StatusOK})
 	c.Exchanger = &exchanger.Exchanger{}
 	c.Table().Routes[0].Timeout = 2 * time.Second
+	c.Table().Routes[0].Target = 2 * time.Second
 	cancelled := make(chan string, 10)
 	c.View.SetPeers([]Peer{peer("a", 1, true), quietPeer(t, "b", 10*time.Second, cancelled)})
 	runMonitor(t, c.View)
--- a/internal/relayer/liveness_monitor_test.go
+++ b/internal/relayer/liveness_monitor_test.go
@@ -50,6 +50,8 @@
 			is := is.New(t)
 			c := newTestCaller(t, test.kind, outcome{status: http.StatusOK})
 			c.Table().Routes[0].Timeout = 1500 * time.Millisecond
+			// With a shorter target, a hedge is sent before the node counts as unresponsive.
+			c.Table().Routes[0].Target = 1500 * time.Millisecond
 			c.Exchanger = &exchanger.Exchanger{}
 			unresponsive := peer("b", 1, false)
 			unresponsive.Address = unresponsiveNode(t)
--- a/internal/relayer/retry.go
+++ b/internal/relayer/retry.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/gentianlever/gentianlever/internal/budgeter"
 	"github.com/gentianlever/gentianlever/internal/placer"
 	"github.com/gentianlever/gentianlever/internal/refuser"
 )
@@ -27,8 +28,12 @@
 	allowed bool
 	unused  bool
 	final   bool
-	// hedgeDue fires when a hedge that was not possible or was refused is tried again;
-	// hedgeDelays counts how often it was scheduled.
+	// slowDue fires when the attempt in progress takes so long that it may be hedged. hedged is
+	// set once it was.
+	slowDue <-chan time.Time
+	hedged  bool
+	// hedgeDue fires when a hedge of attempts at unresponsive nodes that was not possible or was
+	// refused is tried again; hedgeDelays counts how often it was scheduled.
 	hedgeDue    <-chan time.Time
 	hedgeDelays int
 }
@@ -81,12 +86,12 @@
 	}
 	defer func() {
 		cancel()
-		q.awaitCancelled(a)
+		s.awaitCancelled(q, a)
 	}()
 	for {
 		if a.allowed && ctx.Err() == nil {
-			if c, estimate, ok := s.chooseEndpoint(q); ok {
-				s.start(ctx, r, q, a, c, estimate)
+			if c, estimate, ok := s.chooseEndpoint(q, nil); ok {
+				s.start(ctx, r, q, a, c, estimate, false)
 			} else if a.served != nil || q.lastRefusal != nil {
 				q.event.NoRetry = RetryNoEndpoint
 			}
@@ -101,7 +106,7 @@
 			a.hedgeDue = time.After(s.retryAfter(q) << a.hedgeDelays)
 			a.hedgeDelays++
 		}
-		if s.await(ctx, q, a) {
+		if s.await(ctx, r, q, a) {
 			return q.finish(a)
 		}
 	}
@@ -122,14 +127,19 @@
 	}
 }
 
-// start begins an attempt. An attempt that can't be hedged runs on the request's own goroutine.
-func (s *CallerSide) start(ctx context.Context, r *http.Request, q *request, a *attempts, c candidate, estimate placer.Estimate) {
+// start begins an attempt, as a hedge or not. An attempt that can't be hedged runs on the request's
+// own goroutine.
+func (s *CallerSide) start(ctx context.Context, r *http.Request, q *request, a *attempts, c candidate, estimate placer.Estimate, hedge bool) {
 	a.allowed, a.unused, a.hedgeDue = false, false, nil
 	a.inProgress = append(a.inProgress, inProgress{node: c.peer.ID})
 	q.excluded[c.peer.ID] = true
 	call := q.call
+	call.Hedge = hedge
 	attempt := func() { a.results <- s.attempt(ctx, r, q, call, c, estimate, a.unresponsive) }
-	hedgeable := c.peer.ID != s.Node && q.route.Kind.Repeatable()
+	if len(a.inProgress) == 1 && !a.hedged {
+		a.slowDue = s.slowTimer(q)
+	}
+	hedgeable := a.slowDue != nil || c.peer.ID != s.Node && q.route.Kind.Repeatable()
 	if hedgeable || len(a.inProgress) > 1 {
 		go attempt()
 		return
@@ -139,12 +149,18 @@
 
 // await waits until an attempt ends or a hedge is due, and sets a.allowed. It returns true if the
 // request is decided.
-func (s *CallerSide) await(ctx context.Context, q *request, a *attempts) bool {
+func (s *CallerSide) await(ctx context.Context, r *http.Request, q *request, a *attempts) bool {
 	select {
+	case <-a.slowDue:
+		a.slowDue = nil
+		s.hedgeSlow(ctx, r, q, a)
+		return false
 	case node := <-a.unresponsive:
 		a.markUnresponsive(node)
 		if a.onlyUnresponsive() && len(a.results) == 0 {
 			s.allowHedge(ctx, q, a)
+			// A hedge was sent before the node became unresponsive, and its endpoint has failed.
+			return a.served != nil && !a.allowed
 		}
 		return false
 	case <-a.hedgeDue:
@@ -152,8 +168,8 @@
 		q.restoreRerouted()
 		s.allowHedge(ctx, q, a)
 		return false
-	case r := <-a.results:
-		return s.handleResult(ctx, q, a, r)
+	case res := <-a.results:
+		return s.handleResult(ctx, q, a, res)
 	}
 }
 
@@ -166,12 +182,18 @@
 		q.responses = append(q.responses, r.response)
 		a.served = &r
 		if r.response.Status < http.StatusInternalServerError {
+			s.observeLatency(q.route.Name, r.log.Took)
 			return true
 		}
 		q.mayHaveRun = true
 	} else {
 		q.recordRefusal(r)
 	}
+	if r.log.Hedge && len(a.inProgress) > 0 && r.refused != nil && !r.refused.Arrived && r.refused.Row().Ran == refuser.NotRun {
+		// The attempt that was hedged goes on, and no endpoint has seen the hedge.
+		s.Budget.Return(q.call.Service, time.Now())
+		q.call.Attempt--
+	}
 	if len(a.inProgress) > 0 && !a.onlyUnresponsive() {
 		// A responsive node is still at work on the request.
 		return false
@@ -220,12 +242,15 @@
 
 // awaitCancelled waits for the attempts that have been cancelled, so that none outlives its
 // request, and records them before the one that has decided the request.
-func (q *request) awaitCancelled(a *attempts) {
+func (s *CallerSide) awaitCancelled(q *request, a *attempts) {
 	for range a.inProgress {
 		r := <-a.results
 		if r.response != nil {
 			q.responses = append(q.responses, r.response)
 		}
+		// Without the attempts that another one has overtaken, the distribution would lack the
+		// longest latencies.
+		s.observeLatency(q.route.Name, r.log.Took)
 		q.event.Attempts = slices.Insert(q.event.Attempts, max(len(q.event.Attempts)-1, 0), r.log)
 	}
 }
@@ -242,7 +267,7 @@
 	case r.refused != nil && r.refused.Row().Retry == refuser.RetryNever:
 		return RetryFinal
 	case mayHaveRun || r.refused.Arrived:
-		return s.denyRetry(ctx, q, mayHaveRun)
+		return s.denyRetry(ctx, q, mayHaveRun, q.retryPurpose())
 	case len(q.rerouted) > maxReroutes:
 		return RetryReroutesUsed
 	}
@@ -259,7 +284,7 @@
 	case len(s.View.candidates(q.call.Service, q.excluded, time.Now())) == 0:
 		q.event.NoRetry = RetryNoEndpoint
 	default:
-		denied := s.denyRetry(ctx, q, true)
+		denied := s.denyRetry(ctx, q, true, q.retryPurpose())
 		a.allowed = denied == ""
 		if !a.allowed {
 			q.event.NoRetry = denied
@@ -269,7 +294,7 @@
 
 // denyRetry returns the reason why a request that may have reached an endpoint may not be sent to
 // another one. If it may, denyRetry takes a retry from the budget, counts the attempt and returns "".
-func (s *CallerSide) denyRetry(ctx context.Context, q *request, mayHaveRun bool) NoRetry {
+func (s *CallerSide) denyRetry(ctx context.Context, q *request, mayHaveRun bool, purpose budgeter.Purpose) NoRetry {
 	switch {
 	case mayHaveRun && !q.route.Kind.Repeatable():
 		return RetryNotRepeatable
@@ -277,7 +302,7 @@
 		return RetryDeadline
 	case q.call.Attempt >= q.route.MaxAttempts:
 		return RetryAttemptsUsed
-	case !s.Budget.TryRetry(q.call.Service, q.call.Nested, time.Now()):
+	case !s.Budget.TryRetry(q.call.Service, purpose, time.Now()):
 		return RetryBudgetUsed
 	}
 	q.call.Attempt++
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/gentianlever/gentianlever/internal/hedger"
 	"github.com/gentianlever/gentianlever/internal/refuser"
 )
 
@@ -27,8 +28,6 @@
 	// raised a chain to 1.104 executions per call.
 	rerunShareFirst  = 0.5
 	rerunShareDeeper = 0.05
-	// hedgeQuantile is the quantile of the latency after which a hedge is sent.
-	hedgeQuantile = 0.95
 	// normalQuantile is the quantile of the latency that counts as normal. Another
 	// attempt is made only if its normal latency fits before the deadline.
 	normalQuantile = 0.5
@@ -72,7 +71,7 @@
 	hedges    bucket
 	// hedgeSuccess is the moving average of the share of hedges that found a free slot.
 	hedgeSuccess float64
-	latency      latencyHistogram
+	latency      hedger.Latencies
 }
 
 // Call is the retry state of one call. It must be used by one goroutine at a time.
@@ -212,7 +211,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.budgetFor(c.Service, now)
-	normalLatency, _ := b.latency.quantile(normalQuantile)
+	normalLatency, _ := b.latency.Quantile(normalQuantile)
 	movable := row.Reason == refuser.Placement && notRun
 	switch {
 	case !now.Add(normalLatency).Before(c.Deadline):
@@ -256,12 +255,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.budgetFor(c.Service, now)
-	delay, ok := b.latency.quantile(hedgeQuantile)
-	normalLatency, _ := b.latency.quantile(normalQuantile)
-	if !ok || !now.Add(delay+normalLatency).Before(c.Deadline) {
-		return 0, false
-	}
-	return delay, true
+	return b.latency.HedgeDelay(hedger.Limits{Deadline: c.Deadline.Sub(now)})
 }
 
 // TakeHedge takes a hedge from the budget and reports whether it may be sent. It is
@@ -297,5 +291,5 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budgetFor(service, now).latency.observe(latency, now)
+	r.budgetFor(service, now).latency.Observe(latency, now)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"sort"
 	"time"
 
+	"github.com/gentianlever/gentianlever/internal/hedger"
 	"github.com/gentianlever/gentianlever/internal/reporter"
 )
 
@@ -57,6 +58,9 @@
 	Deadline time.Time
 	// NoAlternative is set if no other endpoint would serve the request sooner.
 	NoAlternative bool
+	// Hedge is set on a second copy of a request that is running elsewhere. It runs in a spare
+	// slot or is refused.
+	Hedge bool
 	// DefaultServiceTime is the estimate of the service time that is used before there are
 	// samples of the kind.
 	DefaultServiceTime time.Duration
@@ -196,6 +200,8 @@
 	switch {
 	case earliestEnd.After(r.Deadline):
 		d.Verdict = DeadlineUnreachable
+	case r.Hedge && !s.hasSpareSlot(now):
+		d.Verdict = Busy
 	case tooLate && !r.NoAlternative && slow:
 		d.Verdict = Slow
 	case tooLate && !r.NoAlternative:
@@ -223,6 +229,18 @@
 	return d
 }
 
+// hasSpareSlot reports whether a hedge may run: in a wave near its peak it would take the slot of a
+// first attempt.
+func (s *Scheduler) hasSpareSlot(now time.Time) bool {
+	slowness, _ := s.Slowness(now)
+	return hedger.HasSpareSlot(reporter.Load{
+		InFlight:    s.running,
+		QueuedShort: len(s.waiting),
+		Slots:       s.Capacity(),
+		Slowness:    slowness,
+	}, 0)
+}
+
 // refusesLate reports whether late requests are refused, because lateRefusalShare of the slots
 // are in use or a request is queued.
 func (s *Scheduler) refusesLate() bool {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -188,3 +188,30 @@
 	r.NoAlternative = true
 	is.Equal(s.Offer(r, at(0)).Verdict, Busy)
 }
+
+// Load pattern: a wave of load that rises over half of the slots. Guards against hedges that take the
+// slots of first attempts, wait in the queue, or start at a slow endpoint.
+func TestHedgesRunOnlyInSpareSlots(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	request := func(hedge bool) *Request {
+		return &Request{
+			Kind:               "view",
+			Target:             now.Add(time.Second),
+			Deadline:           now.Add(3 * time.Second),
+			DefaultServiceTime: 100 * time.Millisecond,
+			Hedge:              hedge,
+		}
+	}
+	s := &Scheduler{Slots: 8}
+	for range 3 {
+		is.Equal(s.Offer(request(false), now).Verdict, Run)
+	}
+	is.Equal(s.Offer(request(true), now).Verdict, Run)
+	is.Equal(s.Offer(request(true), now).Verdict, Busy)
+	is.Equal(s.Offer(request(false), now).Verdict, Run)
+	idle := &Scheduler{Slots: 8}
+	idle.SetSlowness(200, now)
+	is.Equal(idle.Offer(request(false), now).Verdict, Run)
+	is.Equal(idle.Offer(request(true), now).Verdict, Busy)
+}
