Refuse calls of running requests at slow endpoints while others may take them

Cause: a nested call's target is that of its caller, which is far away when the call begins. An endpoint that its neighbours make seven times as slow therefore ran calls of 100 ms in 0.7 s, in time for that target, while the caller's run held a slot elsewhere.

An endpoint that has just started is twice as slow as normal and takes calls: after a restart of the whole fleet there is no faster one.

TestCallsAvoidSlowEndpoints fails on the code before.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -42,6 +42,10 @@
 	// endpoint counts as slow. Noisy neighbours on the host raise it to several times the
 	// normal value.
 	slowThreshold = 200
+	// slowCallThreshold is the slowness from which an endpoint refuses calls of running requests
+	// even if they would end in time. It is above that of an endpoint that has just started: after
+	// a restart of the whole fleet there is none that is faster.
+	slowCallThreshold = 300
 )
 
 // Request is one request for a slot.
@@ -196,13 +200,16 @@
 	if r.late {
 		tooLate = missesDeadline
 	}
-	slow := s.slownessFactor(now)*reporter.NormalSlowness >= slowThreshold
+	slowness := s.slownessFactor(now) * reporter.NormalSlowness
+	slow := slowness >= slowThreshold
 	switch {
 	case earliestEnd.After(r.Deadline):
 		d.Verdict = DeadlineUnreachable
 	case r.Hedge && !s.hasSpareSlot(now):
 		d.Verdict = Busy
-	case tooLate && !r.NoAlternative && slow:
+	case (tooLate && slow || r.Nested && slowness >= slowCallThreshold) && !r.NoAlternative:
+		// A call that runs at a slow endpoint in time for its caller's target still holds the
+		// caller's slot for several times as long.
 		d.Verdict = Slow
 	case tooLate && !r.NoAlternative:
 		d.Verdict = Busy
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -215,3 +215,40 @@
 	is.Equal(idle.Offer(request(false), now).Verdict, Run)
 	is.Equal(idle.Offer(request(true), now).Verdict, Busy)
 }
+
+// Load pattern: a quarter of the endpoints slowed by their neighbours, and requests that make short
+// calls. Guards against calls that run at a slow endpoint because their caller's target is far away,
+// and against refusing one that has no other endpoint.
+func TestCallsAvoidSlowEndpoints(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	for _, test := range []struct {
+		nested        bool
+		noAlternative bool
+		want          Verdict
+	}{
+		{
+			want: Run,
+		},
+		{
+			nested: true,
+			want:   Slow,
+		},
+		{
+			nested:        true,
+			noAlternative: true,
+			want:          Run,
+		},
+	} {
+		s := &Scheduler{Slots: 8}
+		s.SetSlowness(700, now)
+		is.Equal(s.Offer(&Request{
+			Kind:               "status",
+			Nested:             test.nested,
+			NoAlternative:      test.noAlternative,
+			Target:             now.Add(1500 * time.Millisecond),
+			Deadline:           now.Add(2 * time.Second),
+			DefaultServiceTime: 100 * time.Millisecond,
+		}, now).Verdict, test.want)
+	}
+}
