Place requests by the bytes of their response as well as of the request

Cause: the cost of another zone counted the bytes of the request only. A download of 90 KB on average crossed zones as readily as a lookup of 1.5 KB, and the users pay for bytes between zones. Each node now keeps the average size of the responses of a route beside the average service time, and counts both directions.

TestLargeResponsesStayInTheirZone fails on the code before (the large response crosses zones).

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -43,10 +43,10 @@
 	return candidates[i], estimate, true
 }
 
-// transferTime returns the cost of sending a request to another zone, expressed as a time: a fixed one
-// and one for its bytes.
+// transferTime returns the cost of sending a request to another zone and its response back, expressed
+// as a time: a fixed one and one for the bytes of both.
 func (q *request) transferTime() time.Duration {
-	kib := float64(len(q.content)) / 1024
+	kib := (float64(len(q.content)) + q.responseBytes) / 1024
 	return fromMicros(q.call.DefaultServiceTime)/crossZoneDivisor + time.Duration(kib*float64(transferPerKiB))
 }
 
@@ -102,7 +102,7 @@
 	res.log.Unresponsive = s.View.endAttempt(c.peer.ID, f, end, now)
 	s.View.Report(c.peer.ID, load, now)
 	if err == nil && end == attemptSucceeded {
-		s.observeServiceTime(call.Route, now.Sub(started))
+		s.observeResponse(call.Route, now.Sub(started), len(response.Body))
 	}
 	return res
 }
--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -109,7 +109,9 @@
 	// callerDeadline is the time until which the caller waits. It is not before deadline.
 	callerDeadline time.Time
 	content        []byte
-	event          Event
+	// responseBytes is the expected size of the response; zero if it is not known.
+	responseBytes float64
+	event         Event
 	// responses are those of all attempts that have ended. Their memory is held until the caller
 	// has its response.
 	responses []*Response
@@ -296,7 +298,9 @@
 	}
 	s.mu.Lock()
 	service := s.Splitter.Choose(route, s.random.IntN(1<<20))
-	expected := s.samplesOf(route.Name).serviceTime
+	samples := s.samplesOf(route.Name)
+	expected := samples.serviceTime
+	q.responseBytes = samples.responseBytes
 	s.mu.Unlock()
 	if expected == 0 {
 		expected = route.Target / defaultServiceTimeDivisor
--- a/internal/relayer/samples.go
+++ b/internal/relayer/samples.go
@@ -18,6 +18,8 @@
 	// serviceTime is the average duration of an attempt, with queue wait and transfer; zero before
 	// the first.
 	serviceTime time.Duration
+	// responseBytes is the average size of the responses.
+	responseBytes float64
 	// latencies is the distribution of the durations.
 	latencies hedger.Latencies
 }
@@ -35,18 +37,20 @@
 	return samples
 }
 
-// observeServiceTime updates the average of a route. Durations are capped at twice the average, so
+// observeResponse updates the averages of a route. Durations are capped at twice the average, so
 // that slow endpoints raise it only gradually.
-func (s *CallerSide) observeServiceTime(route string, took time.Duration) {
+func (s *CallerSide) observeResponse(route string, took time.Duration, responseBytes int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	samples := s.samplesOf(route)
 	if samples.serviceTime == 0 {
 		samples.serviceTime = took
+		samples.responseBytes = float64(responseBytes)
 		return
 	}
 	took = min(took, 2*samples.serviceTime)
 	samples.serviceTime += time.Duration(sampleWeight * float64(took-samples.serviceTime))
+	samples.responseBytes += sampleWeight * (float64(responseBytes) - samples.responseBytes)
 }
 
 // observeLatency records the duration of an attempt that was served, or that another one has
