Play the large fleet's load in the emulator, beside a scheduler with perfect knowledge

The emulator measured the product's own interface only. internal/emulator plays the decisions of the sidecars (placer, scheduler, hedger, budgeter, the rule when a load is sent) on 195 endpoints in five zones in virtual time, with nested calls, noisy neighbours, cold starts and callers that come back, in seven patterns of load, beside a scheduler that knows the state of all endpoints at once. The rule that decides whether a change of the load is sent at once moves from relayer to reporter, so that both use one.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 TOOL := go tool -modfile=tools/tools.mod
 GENERATE := go tool -modfile=tools/generate.mod
 
-.PHONY: build run test race smoke soak check measure pathcost slopes generate
+.PHONY: build run test race smoke soak check measure fleet pathcost slopes generate
 
 build:
 	go build -o bin/gentianlever ./cmd/gentianlever
@@ -48,6 +48,11 @@
 slopes:
 	@for n in 16 32 64 128; do go run ./test/slopes --nodes $$n || exit 1; done
 
+# Plays the load of a large fleet in virtual time beside a scheduler with perfect knowledge, and
+# writes the table on docs/measurements.md and the plot docs/fleet.svg; takes about a minute.
+fleet:
+	go run ./test/fleet
+
 # Simulates the load-balancing decisions in virtual time and writes docs/measurements.md; takes
 # about 3 minutes.
 measure:
--- a/internal/measurer/tables_test.go
+++ b/internal/measurer/tables_test.go
@@ -20,6 +20,7 @@
 const (
 	measurementsPage = "../../docs/measurements.md"
 	seeds            = 5
+	fleetHeading     = "## The large fleet on the users' platform\n"
 )
 
 var tailLoads = []float64{0.5, 0.7, 0.85, 0.95}
@@ -283,5 +284,10 @@
 	}
 	table := peakTable(t, Workloads[0])
 	b.WriteString(table.Markdown())
+	old, err := os.ReadFile(measurementsPage)
+	is.New(t).NoErr(err)
+	// The part on the large fleet is measured by "make fleet".
+	_, fleet, _ := strings.Cut(string(old), fleetHeading)
+	b.WriteString("\n" + fleetHeading + fleet)
 	is.New(t).NoErr(os.WriteFile(measurementsPage, []byte(strings.TrimRight(b.String(), "\n")+"\n"), 0o644))
 }
--- a/internal/relayer/load_exchange.go
+++ b/internal/relayer/load_exchange.go
@@ -26,9 +26,6 @@
 	// loadRefreshInterval is the time after which an unchanged load is sent again, to limit the
 	// effect of a lost message.
 	loadRefreshInterval = 250 * time.Millisecond
-	// loadChangePercent is the change in the number of in-flight and queued requests, in
-	// percent of the slots, that is sent at once. Smaller changes wait for loadRefreshInterval.
-	loadChangePercent = 20
 	// subscriptionTTL is the time for which the load is sent to a node after its last request.
 	subscriptionTTL = 3 * time.Second
 	// maxSubscribers limits the number of messages sent for one change. If more nodes are
@@ -154,7 +151,7 @@
 			to = append(to, a)
 		}
 	}
-	if len(to) == 0 || !significantChange(l.lastSent, load) && now.Sub(l.lastSentAt) < loadRefreshInterval {
+	if len(to) == 0 || !reporter.SignificantChange(l.lastSent, load) && now.Sub(l.lastSentAt) < loadRefreshInterval {
 		return nil, nil
 	}
 	l.lastSent, l.lastSentAt = load, now
@@ -199,24 +196,6 @@
 	_, _ = conn.WriteToUDPAddrPort(message, to)
 }
 
-// significantChange reports whether the load has changed enough to affect placement: the draining
-// flag, the number of slots or the incarnation changed, the slowness changed by a factor over 1.5,
-// all slots came into use or one became free, or the number of requests changed by
-// loadChangePercent.
-func significantChange(lastSent, load reporter.Load) bool {
-	if lastSent.Draining != load.Draining || lastSent.Slots != load.Slots || lastSent.Incarnation != load.Incarnation {
-		return true
-	}
-	if 2*lastSent.Slowness > 3*load.Slowness || 2*load.Slowness > 3*lastSent.Slowness {
-		return true
-	}
-	before, after := lastSent.InFlight+lastSent.QueuedShort, load.InFlight+load.QueuedShort
-	if (before >= load.Slots) != (after >= load.Slots) {
-		return true
-	}
-	return 100*max(before-after, after-before) >= loadChangePercent*load.Slots
-}
-
 // The purpose is part of the authentication code, so that a message of one kind is not valid as
 // the other.
 const (
