Leave it to the server to end the limit of a response's write time

net/http resets the write deadline of a connection after each response, so the handlers need not do it. TestSlowReaderDoesNotHoldTheMemory passes unchanged.

--- a/internal/relayer/callerside.go
+++ b/internal/relayer/callerside.go
@@ -133,7 +133,6 @@
 		s.random = rand.New(rand.NewPCG(s.Seed, s.Seed))
 		s.routes = make(map[string]*routeSamples)
 	})
-	limitWriteTime(w, time.Time{})
 	if s.CloseConnections() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/relayer/endpointside.go
+++ b/internal/relayer/endpointside.go
@@ -168,7 +168,6 @@
 
 // ServeHTTP handles a request that another node forwards.
 func (s *EndpointSide) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	limitWriteTime(w, time.Time{})
 	token := r.Header.Get(HeaderNodeToken)
 	if subtle.ConstantTimeCompare([]byte(token), []byte(s.NodeToken)) != 1 {
 		writeRefused(w, &RefusedError{Refusal: &refuser.Refusal{Reason: refuser.Unauthenticated}})
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -214,8 +214,8 @@
 // written. A receiver that reads slowly holds the memory of the response no longer.
 const writeMargin = 2 * time.Second
 
-// limitWriteTime sets the time until which the response may be written; zero means no limit, and
-// also ends the limit of the connection's previous response.
+// limitWriteTime sets the time until which the response may be written. The server ends the limit
+// once it has sent the response.
 func limitWriteTime(w http.ResponseWriter, until time.Time) {
 	// Only a ResponseWriter without a connection, as in tests, does not support it.
 	_ = http.NewResponseController(w).SetWriteDeadline(until)
