--- a/internal/emulator/sidecar.go
+++ b/internal/emulator/sidecar.go
@@ -142,12 +142,12 @@
 
 // next makes another attempt, or refuses the request if there is no endpoint for it.
 func (q *request) next() {
-	e, load := q.choose(false)
+	e := q.choose(false)
 	if e == nil {
 		q.refuse()
 		return
 	}
-	q.attempt(e, load, false)
+	q.attempt(e, false)
 }
 
 func (q *request) refuse() {
@@ -159,7 +159,7 @@
 }
 
 // choose returns the endpoint of the next attempt or of a hedge, or nil.
-func (q *request) choose(hedge bool) (*endpoint, placer.Candidate) {
+func (q *request) choose(hedge bool) *endpoint {
 	n := q.node
 	service := q.serviceTime()
 	var endpoints []*endpoint
@@ -193,9 +193,9 @@
 	}
 	i, _ := placer.Choose(candidates, service, n.random)
 	if i < 0 {
-		return nil, placer.Candidate{}
+		return nil
 	}
-	return endpoints[i], candidates[i]
+	return endpoints[i]
 }
 
 // serviceTime returns the node's estimate of the service time.
@@ -207,7 +207,7 @@
 }
 
 // attempt sends the request to an endpoint.
-func (q *request) attempt(e *endpoint, c placer.Candidate, hedge bool) {
+func (q *request) attempt(e *endpoint, hedge bool) {
 	w, n := q.w, q.node
 	a := &attempt{
 		q:       q,
@@ -266,14 +266,14 @@
 		if a.ended || q.ended || q.hedged || len(q.attempts) != 1 {
 			return
 		}
-		e, c := q.choose(true)
+		e := q.choose(true)
 		if e == nil || !q.node.budget.TryRetry(strconv.Itoa(q.service), budgeter.Hedge, q.w.time()) {
 			return
 		}
 		q.hedged = true
 		q.tries++
 		q.w.result.Hedges++
-		q.attempt(e, c, true)
+		q.attempt(e, true)
 	})
 }
 
