Close a connection that is accepted at the moment of a planned stop

Such a connection is now closed unread.

TestConnectionAtTheMomentOfTheStopIsClosed fails before (close of closed channel).

--- a/internal/forwarder/finishing.go
+++ b/internal/forwarder/finishing.go
@@ -37,23 +37,39 @@
 func (l *FinishingListener) Accept() (net.Conn, error) {
 	l.initialize()
 	conn, err := l.Listener.Accept()
+	if c := l.register(conn, err); c != nil {
+		return c, nil
+	}
+	if err == nil {
+		// The connection came at the moment of the stop. Nothing was read from it.
+		_ = conn.Close()
+		err = net.ErrClosed
+	}
+	if l.isStopping() {
+		<-l.closed
+	}
+	return nil, err
+}
+
+// register returns an accepted connection, unless there is none or the stop has begun.
+func (l *FinishingListener) register(conn net.Conn, err error) *finishingConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err != nil {
-		if l.stopping {
-			l.mu.Unlock()
-			<-l.closed
-			l.mu.Lock()
-		}
-		return nil, err
+	if err != nil || l.stopping {
+		return nil
 	}
 	c := &finishingConn{
 		Conn:     conn,
 		listener: l,
-		stopping: l.stopping,
 	}
 	l.open[c] = true
-	return c, nil
+	return c
+}
+
+func (l *FinishingListener) isStopping() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stopping
 }
 
 // Close closes the listener.
--- a/internal/forwarder/finishing_test.go
+++ b/internal/forwarder/finishing_test.go
@@ -136,6 +136,48 @@
 	}
 }
 
+// lateListener returns a connection from Accept only after its Close, as one that came at the moment of
+// the stop.
+type lateListener struct {
+	net.Listener
+	closed chan struct{}
+	conn   net.Conn
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	if l.conn == nil {
+		return nil, net.ErrClosed
+	}
+	<-l.closed
+	conn := l.conn
+	l.conn = nil
+	return conn, nil
+}
+
+func (l *lateListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+// Guards against a connection that is accepted at the moment of the stop and counted after all others
+// have ended.
+func TestConnectionAtTheMomentOfTheStopIsClosed(t *testing.T) {
+	is := is.New(t)
+	client, node := net.Pipe()
+	l := &FinishingListener{Listener: &lateListener{
+		closed: make(chan struct{}),
+		conn:   node,
+	}}
+	server := &http.Server{Handler: http.NotFoundHandler()}
+	served := make(chan error)
+	go func() { served <- server.Serve(l) }()
+	time.Sleep(10 * time.Millisecond)
+	is.NoErr(shutDown(server, l, time.Second))
+	is.Equal(<-served, http.ErrServerClosed)
+	_, err := client.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
+
 // Guards against a shutdown that waits for connections without a request, or without end for a head
 // that never ends.
 func TestShutdownEndsConnections(t *testing.T) {
