Let the response of TestLateResponse always come after the cancellation

The handler now waits until the exchange has failed, so that each of the 20 responses is late; before, one that came early was not tested. The exchanger is unchanged.

--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -73,9 +73,10 @@
 // the response to the next request.
 func TestLateResponse(t *testing.T) {
 	is := is.New(t)
+	cancelled := make(chan struct{})
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Slow") != "" {
-			time.Sleep(20 * time.Millisecond)
+			<-cancelled
 		}
 		_, _ = io.WriteString(w, r.Header.Get("Name"))
 	}))
@@ -89,6 +90,7 @@
 		_, err := read(ctx, e, r, to)
 		cancel()
 		is.True(errors.Is(err, context.DeadlineExceeded))
+		cancelled <- struct{}{}
 		r = request("GET", "")
 		r.Header.Set("Name", fmt.Sprint(i))
 		got, err := read(t.Context(), e, r, to)
