Show that a restart in an outage forgets that an upstream has left

A node acknowledges a leave while the store is down, is killed and starts again; a status report that comes late makes it use the upstream again, for as long as that serves.

--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,8 @@
 	LoseFeed func(from string) bool
 	// OnFeed is called when a feed call with changed rows is answered or its answer is lost.
 	OnFeed func(from string, lost bool)
+	// Busy is set while the store answers every call with 503 and does nothing.
+	Busy atomic.Bool
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -48,7 +51,13 @@
 	mux.HandleFunc("POST /gentianlever/rows-tx", s.transaction)
 	mux.HandleFunc("GET /gentianlever/rows-get", s.get)
 	mux.HandleFunc("GET /gentianlever/rows-feed", s.feed)
-	s.server = &http.Server{Handler: mux}
+	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.Busy.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})}
 	go func() { _ = s.server.Serve(l) }()
 	return l.Addr().String(), nil
 }
