Take a response as complete only if the whole request was sent

Cause: the kernel reports the reset of a connection once. In an upload, the goroutine that writes the request body receives it, and the read of a response that ends with its connection then returns the end of the stream. strace of the node beside the endpoint shows write = -1 ECONNRESET and then read = 0 on the connection of the truncated response; reads that received ECONNRESET themselves ended as incomplete. Ruled out: a fault between nodes, which always state a length.

Change: such a response is complete only if the sending of the request ended without an error. If it is still in progress, its end is awaited until the deadline, so that an endpoint that ends only its own direction and reads on is still served.

--- a/internal/exchanger/connection.go
+++ b/internal/exchanger/connection.go
@@ -144,12 +144,17 @@
 // checkLength refuses a response that is delimited only by the end of the connection,
 // because a response truncated by a crash of the sender would look complete.
 func checkLength(resp *http.Response) error {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
+	if closeDelimited(resp) {
 		return &FramingError{Problem: "the body has neither a Content-Length nor chunked transfer coding"}
 	}
 	return nil
 }
 
+// closeDelimited reports whether only the end of the connection shows the end of a response's body.
+func closeDelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
 // bufferHeader reads until a complete header is buffered and checks its lines. The
 // standard parser accepts bare line feeds and a header with both Content-Length and
 // Transfer-Encoding, which two parsers may interpret differently.
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -58,7 +58,8 @@
 	// with which an unresponsive peer is only detected after minutes.
 	KeepAliveInterval time.Duration
 	// AllowCloseDelimited accepts responses that are delimited only by the end of the
-	// connection. Such a response is incomplete if the connection was reset.
+	// connection. Such a response is incomplete if the connection was reset, or if the peer did
+	// not take the whole request.
 	AllowCloseDelimited bool
 	// Matches reports whether a response belongs to a request. A response that does not,
 	// such as a late second response to an earlier request, is read and dropped. Where
@@ -118,11 +119,12 @@
 	}
 	c.peerIdleTimeout = keepAliveTimeout(resp.Header)
 	b := &responseBody{
-		ReadCloser: resp.Body,
-		ctx:        ctx,
-		stop:       stop,
-		reusable:   !resp.Close && !r.Close && (e.KeepAfter == nil || e.KeepAfter(resp)),
-		exchange:   x,
+		ReadCloser:     resp.Body,
+		ctx:            ctx,
+		stop:           stop,
+		reusable:       !resp.Close && !r.Close && (e.KeepAfter == nil || e.KeepAfter(resp)),
+		closeDelimited: closeDelimited(resp),
+		exchange:       x,
 	}
 	if resp.Body == http.NoBody {
 		b.finish(true)
@@ -259,7 +261,9 @@
 	stop func() bool
 	// reusable is set unless the request or the response closes the connection.
 	reusable bool
-	done     bool
+	// closeDelimited is set if only the end of the connection shows the end of the body.
+	closeDelimited bool
+	done           bool
 	// received counts the bytes read.
 	received int64
 	exchange *exchange
@@ -274,6 +278,11 @@
 	if limit := b.exchange.e.MaxBodyBytes; limit > 0 && b.received > limit {
 		n, err = 0, &FramingError{Problem: "the body exceeds the size limit"}
 	}
+	if err == io.EOF && b.closeDelimited {
+		if uploadErr := b.uploadError(); uploadErr != nil {
+			n, err = 0, uploadErr
+		}
+	}
 	if err != nil {
 		b.finish(err == io.EOF)
 	}
@@ -283,6 +292,17 @@
 	return n, err
 }
 
+// uploadError returns the error with which the sending of the request ended, or nil. The kernel
+// reports the reset of a connection only once, to a read or to a write, and reads return the end of
+// the stream from then on. The end of a connection that still carries the request shows a complete
+// response only if the peer takes the rest of the request.
+func (b *responseBody) uploadError() error {
+	if b.exchange.upload == nil {
+		return nil
+	}
+	return b.exchange.upload.wait(b.ctx)
+}
+
 func (b *responseBody) Close() error {
 	if !b.done {
 		b.finish(false)
@@ -296,7 +316,7 @@
 	b.done = true
 	c, u := b.exchange.c, b.exchange.upload
 	active := b.stop()
-	sent := u == nil || (u.ended() && u.complete)
+	sent := u == nil || (u.ended() && u.err == nil)
 	if active && complete && b.reusable && sent && !c.enlarged && c.reader.Buffered() == 0 {
 		b.exchange.e.put(c)
 		return
--- a/internal/exchanger/upload.go
+++ b/internal/exchanger/upload.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"context"
 	"errors"
 	"io"
 	"sync"
@@ -21,8 +22,8 @@
 	refused  atomic.Bool
 	// finished is closed when the sending has ended.
 	finished chan struct{}
-	// complete is set before finished is closed if the whole request was sent.
-	complete bool
+	// err is set before finished is closed. It is nil if the whole request was sent.
+	err error
 	// bodyError is set if reading the request body failed.
 	bodyError atomic.Pointer[BodyError]
 }
@@ -48,6 +49,20 @@
 	}
 }
 
+// wait waits until the sending has ended and returns its error. A body that was refused is no
+// error. When ctx ends, its cause is returned.
+func (u *upload) wait(ctx context.Context) error {
+	select {
+	case <-u.finished:
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	if u.refused.Load() {
+		return nil
+	}
+	return u.err
+}
+
 // startUpload sends the request on a goroutine of its own. If the request expects
 // "100 Continue", its body is held back until that arrives.
 func (x *exchange) startUpload() {
@@ -74,7 +89,7 @@
 			// The peer can detect an incomplete body only by the end of the connection.
 			_ = c.Close()
 		}
-		u.complete = err == nil
+		u.err = err
 		close(u.finished)
 	}()
 }
