Keep copies of departures at other members

Cause: the confirmation was given for a departure that only the killed process held, because the write of its row had failed. The log of the new process shows departures-unknown, then endpoint-changed to available on the late report, and no departure-recorded. Ruled out: a known departure that the report overrides. A second fault on the same path: the rows were read for 2 s after the start and never again, so that a departure recorded before the outage was lost too.

Change: a departure goes to six random members beside the write of its row. If the write fails, the confirmation waits for the first copy. Members return their copies when they see a higher incarnation of the node, which writes the row once the store takes it. The rows are read until the store responds.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -24,6 +24,7 @@
 	"github.com/gentianlever/gentianlever/internal/recorder"
 	"github.com/gentianlever/gentianlever/internal/registrar"
 	"github.com/gentianlever/gentianlever/internal/relayer"
+	"github.com/gentianlever/gentianlever/internal/replicator"
 	"github.com/gentianlever/gentianlever/internal/reporter"
 	"github.com/gentianlever/gentianlever/internal/restorer"
 	"github.com/gentianlever/gentianlever/internal/router"
@@ -101,6 +102,7 @@
 	livenessMonitor   relayer.LivenessMonitor
 	quarantiner       quarantiner.Quarantiner
 	restorer          restorer.Restorer
+	replicator        replicator.Replicator
 	membership
 	departures
 }
@@ -129,6 +131,7 @@
 	p.Go(n.restoreDepartures)
 	p.Go(n.recordLateDepartures)
 	p.Go(n.restorer.Run)
+	p.Go(n.replicator.Run)
 	p.Go(n.probeWhenDue)
 	p.Go(n.watchSettings)
 	p.Go(n.updateGauges)
@@ -179,6 +182,7 @@
 	n.buildMembership()
 	n.buildQuarantine()
 	n.buildRestorer()
+	n.buildReplicator()
 }
 
 func (n *Conductor) buildExchangers() {
--- a/internal/conductor/endpoint.go
+++ b/internal/conductor/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -59,26 +60,49 @@
 	return n.registrar.Current()
 }
 
-// restoreDepartures reads the endpoints that departed before this start. It retries until
-// restoreTimeout.
+// restoreDepartures reads the endpoints that departed before this start. After restoreTimeout, the
+// endpoint is used without them, and the read is repeated until the store responds.
 func (n *Conductor) restoreDepartures(ctx context.Context) error {
-	defer n.departuresRestored.Store(true)
-	for time.Since(n.startedAt) < restoreTimeout {
-		calling, cancel := context.WithTimeout(ctx, storeTimeout)
-		rows, err := n.table.Query(calling, n.departurePartition(), "", maxDepartureRows)
-		cancel()
-		if err == nil {
-			n.registrar.Restore(n.decodeDepartures(rows))
-			return nil
+	for !n.readDepartures(ctx) {
+		if time.Since(n.startedAt) >= restoreTimeout {
+			n.departuresRestored.Store(true)
+			n.Log.Warn(recorder.DeparturesUnknown, "after", restoreTimeout.String())
+			return n.restoreLateDepartures(ctx)
 		}
 		if !sleeper.Sleep(ctx, storeRetryDelay) {
 			return nil
 		}
 	}
-	n.Log.Warn(recorder.DeparturesUnknown, "after", restoreTimeout.String())
+	n.departuresRestored.Store(true)
 	return nil
 }
 
+// restoreLateDepartures repeats the read after restoreTimeout.
+func (n *Conductor) restoreLateDepartures(ctx context.Context) error {
+	for delay := departureRetryDelay; ; delay = min(2*delay, maxDepartureRetryDelay) {
+		if !sleeper.Sleep(ctx, delay/2+rand.N(delay)) {
+			return nil
+		}
+		if n.readDepartures(ctx) {
+			n.Log.Info(recorder.DeparturesRestored, "source", "store", "departures", len(n.registrar.Departures()))
+			return nil
+		}
+	}
+}
+
+// readDepartures reads the rows of departures, and reports whether the store responded.
+func (n *Conductor) readDepartures(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	rows, err := n.table.Query(ctx, n.departurePartition(), "", maxDepartureRows)
+	if err != nil {
+		// The failed call is logged by storeCallFinished.
+		return false
+	}
+	n.registrar.Restore(n.decodeDepartures(rows))
+	return true
+}
+
 // decodeDepartures decodes the rows of departures; it logs and skips those that are not valid.
 func (n *Conductor) decodeDepartures(rows []storer.Row) []registrar.Departure {
 	var found []registrar.Departure
@@ -130,12 +154,24 @@
 	return nil
 }
 
-// recordDeparture stores a departure, so that it is known after a restart of the node. It is
-// already in effect on this node; until a failed write succeeds, a restart of the node forgets it.
+// recordDeparture stores a departure and copies it to other members, so that it is known after a
+// restart of the node, also during an outage of the store. It is already in effect on this node.
 func (n *Conductor) recordDeparture(d registrar.Departure) {
+	copied := make(chan struct{})
+	go func() {
+		defer close(copied)
+		n.copyDeparture(d)
+	}()
 	if n.writeDeparture(d) {
 		return
 	}
+	// The endpoint takes the confirmation to be final, so it must not come before the first copy.
+	<-copied
+	n.recordLater(d)
+}
+
+// recordLater queues a departure for recordLateDepartures.
+func (n *Conductor) recordLater(d registrar.Departure) {
 	select {
 	case n.unrecorded <- d:
 	default:
@@ -155,7 +191,8 @@
 }
 
 // recordLateDepartures writes the departures whose first write failed, one after another, until the
-// store has taken them. Each write is idempotent.
+// store has taken them. Each write is idempotent. Members that kept copies may have restarted
+// meanwhile, so a departure that can't be written is copied again.
 func (n *Conductor) recordLateDepartures(ctx context.Context) error {
 	for {
 		select {
@@ -170,6 +207,7 @@
 					n.Log.Info(recorder.DepartureRecorded, "endpoint", d.ID)
 					break
 				}
+				n.copyDeparture(d)
 			}
 		}
 	}
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -183,6 +183,7 @@
 	}
 	n.logMembers(members)
 	n.view.SetPeers(peers)
+	n.replicator.HandleMembersChanged()
 }
 
 // logMembers logs all members with their states.
@@ -246,7 +247,7 @@
 	}
 	r.Header.Set(headerFetch, what)
 	r.Header.Set(headerKnownTable, n.follower.ID())
-	r.Header.Set(relayer.HeaderNodeToken, n.callers.NodeToken)
+	n.setNodeToken(r.Header)
 	n.setEra(r.Header)
 	resp, err := n.nodeExchanger.Exchange(ctx, r, address)
 	if err != nil {
@@ -270,8 +271,8 @@
 // maxTableBytes limits the size of a fetched routing table, encoded and decoded.
 const maxTableBytes = 4 << 20
 
-// nodesHandler handles requests from other nodes: messages, fetches of the routing table, and
-// requests for the local endpoint. In a planned stop, other nodes are told to close their connections
+// nodesHandler handles requests from other nodes: messages, fetches of the routing table, departures,
+// and requests for the local endpoint. In a planned stop, other nodes are told to close their connections
 // before this node does, because a request that is on its way then has an unknown outcome.
 func (n *Conductor) nodesHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -286,15 +287,25 @@
 			service.messages.ServeHTTP(w, r)
 		case r.Header.Get(headerFetch) != "":
 			n.serveFetch(w, r, service.token)
+		case r.Header.Get(headerDepartures) != "":
+			n.serveDepartures(w, r, service.token)
 		default:
 			n.endpoint.ServeHTTP(w, r)
 		}
 	})
 }
 
+// setNodeToken authenticates a request to another node.
+func (n *Conductor) setNodeToken(h http.Header) { h.Set(relayer.HeaderNodeToken, n.callers.NodeToken) }
+
+// hasNodeToken reports whether a request comes from a node.
+func hasNodeToken(r *http.Request, token string) bool {
+	return subtle.ConstantTimeCompare([]byte(r.Header.Get(relayer.HeaderNodeToken)), []byte(token)) == 1
+}
+
 // serveFetch serves a fetch by a member that holds the node token.
 func (n *Conductor) serveFetch(w http.ResponseWriter, r *http.Request, token string) {
-	if subtle.ConstantTimeCompare([]byte(r.Header.Get(relayer.HeaderNodeToken)), []byte(token)) != 1 {
+	if !hasNodeToken(r, token) {
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
--- a/internal/recorder/events.go
+++ b/internal/recorder/events.go
@@ -35,6 +35,9 @@
 	DeparturesUnknown    Event = "departures-unknown"
 	DepartureNotRecorded Event = "departure-not-recorded"
 	DepartureRecorded    Event = "departure-recorded"
+	DepartureNotCopied   Event = "departure-not-copied"
+	DeparturesReturned   Event = "departures-returned"
+	DeparturesRestored   Event = "departures-restored"
 	ProbeFailed          Event = "probe-failed"
 	RateLimitChanged     Event = "rate-limit-changed"
 	RequestMalformed     Event = "request-malformed"
@@ -185,12 +188,12 @@
 	{
 		Name:   DepartureUnreadable,
 		Fields: []string{"row"},
-		Help:   "a row of a departed endpoint could not be decoded",
+		Help:   "a departure could not be decoded; row is its key in the store, or the address of the member that sent it",
 	},
 	{
 		Name:   DeparturesUnknown,
 		Fields: []string{"after"},
-		Help:   "the rows of departed endpoints could not be read in time; the endpoint is used without checking them",
+		Help:   "the rows of departed endpoints could not be read in time; the endpoint is used without checking them until they can be read (departures-restored)",
 	},
 	{
 		Name:   DepartureNotRecorded,
@@ -200,7 +203,22 @@
 	{
 		Name:   DepartureRecorded,
 		Fields: []string{"endpoint"},
-		Help:   "the row of a departure was written after departure-not-recorded",
+		Help:   "the row of a departure was written after departure-not-recorded or departures-restored",
+	},
+	{
+		Name:   DepartureNotCopied,
+		Fields: []string{"endpoint", "error"},
+		Help:   "no other member has taken a copy of a departure; if its row can't be written either, a restart of the node forgets it",
+	},
+	{
+		Name:   DeparturesReturned,
+		Fields: []string{"member", "departures", "error"},
+		Help:   "the node returned the copies of a member's departures after the member's restart; error is empty if they arrived, else they are sent again",
+	},
+	{
+		Name:   DeparturesRestored,
+		Fields: []string{"source", "departures"},
+		Help:   "departures from before the start took effect: all that the store had (source store), or one that another member kept",
 	},
 	{
 		Name:   ProbeFailed,
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -267,6 +267,14 @@
 	return slices.SortedFunc(maps.Values(g.departures), func(a, b Departure) int { return cmp.Compare(a.Started, b.Started) })
 }
 
+// Knows reports whether a departure changes nothing, because it or a later one is remembered.
+func (g *Registrar) Knows(d Departure) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known, ok := g.departures[d.ID]
+	return ok && known.Started >= d.Started && (known.Left || !d.Left)
+}
+
 // Restore adds valid departures that were recorded before this process started.
 func (g *Registrar) Restore(departures []Departure) {
 	g.mu.Lock()
