End the waits for changes of the table one node after another

Cause: a change ends the waits of all nodes at the same moment, and their next waits begin and end together. If the responses to all of them are lost, no call shows the change until the waits have passed. In the test all three nodes log "nothing received for 32s" at the same moment, and no announcement before it. Ruled out: a node that knows the change and does not announce it.

Change: the waits of the nodes that poll end 2.5 s apart by the clock that the store states, also after a change.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -168,6 +168,7 @@
 	n.follower.Fetch = n.fetchTable
 	n.follower.Decode = platform.DecodeTable
 	n.follower.ShouldPoll = n.pollsStore
+	n.follower.Slot = n.pollSlot
 	n.follower.OnAnnounced = n.tableAnnounced
 	n.follower.OnTransfer = n.tableTransferred
 	n.follower.OnApplied = n.tableApplied
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -145,14 +145,32 @@
 // takes over when one fails. While nodes have different views of the membership, a few more
 // may poll.
 func (n *Conductor) pollsStore() bool {
+	rank, _ := n.pollRank()
+	return rank < maxTablePollers
+}
+
+// pollSlot returns the place of this node among those that long-poll the store, and their number.
+func (n *Conductor) pollSlot() (int, int) {
+	rank, members := n.pollRank()
+	slots := min(members, maxTablePollers)
+	return rank % slots, slots
+}
+
+// pollRank returns the number of live members whose names have lower hashes than this node's, and the
+// number of all live members including this node.
+func (n *Conductor) pollRank() (int, int) {
 	local := nameHash(n.Settings.Name)
-	lower := 0
+	rank, members := 0, 1
 	for _, m := range n.announcer.Present() {
-		if m.ID != n.Settings.Name && m.State == announcer.Alive && nameHash(m.ID) < local {
-			lower++
+		if m.ID == n.Settings.Name || m.State != announcer.Alive {
+			continue
+		}
+		members++
+		if nameHash(m.ID) < local {
+			rank++
 		}
 	}
-	return lower < maxTablePollers
+	return rank, members
 }
 
 // nameHash returns the hash of a node's name.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -17,8 +17,14 @@
 )
 
 const (
-	// maxWait is the longest wait of one long-polling call to the store's feed. Calls are
-	// charged, so it is long. Members announce changes, so a long wait delays none.
+	// waitInterval is the time after which one node after another ends its wait at the store's
+	// feed. If the store's answers to all waits are lost, the next node to wait again gets the
+	// change and announces it. With the time until a wait is known to be overdue, this is less
+	// than the 3 s after which a store that has lost answers counts as undisturbed. Calls are
+	// charged, and all nodes together make one in this time.
+	waitInterval = 2500 * time.Millisecond
+	// minWait and maxWait bound the wait of one long-polling call.
+	minWait = 200 * time.Millisecond
 	maxWait = 30 * time.Second
 	// transferTimeout bounds a read of the table from the store and a fetch from a member. Both
 	// are given up earlier if they make no progress.
@@ -40,6 +46,9 @@
 	Position uint64
 	// Era is 0 if the store does not state it.
 	Era uint64
+	// Clock is the time of the store's clock when it responded, or 0 if the store does not
+	// state it.
+	Clock time.Duration
 	// Encoded is empty if there is no table or it has not changed.
 	Encoded []byte
 }
@@ -54,6 +63,16 @@
 	return fmt.Sprintf("the history after position %d is no longer available", e.Position)
 }
 
+// OverdueError reports that the response to a wait is overdue. Its connection may be alive: the store
+// delivers nothing more on a connection on which a response was lost.
+type OverdueError struct {
+	Wait time.Duration
+}
+
+func (e *OverdueError) Error() string {
+	return fmt.Sprintf("the response to a wait of %s is overdue", e.Wait)
+}
+
 // Version is one version of the routing table, in decoded and encoded form. Members send
 // each other the encoded form.
 type Version struct {
@@ -68,7 +87,8 @@
 // Follower keeps the routing table up to date. Set the exported fields before Run.
 type Follower struct {
 	// Read reads the table from the store. WaitForChange waits there until the table changes
-	// after position, for at most the given time. Both must fail if they make no progress.
+	// after position, for at most the given time. Both must fail if they make no progress, and
+	// WaitForChange with an *OverdueError if no response comes soon after that time.
 	Read          func(ctx context.Context) (Snapshot, error)
 	WaitForChange func(ctx context.Context, position uint64, wait time.Duration) (Snapshot, error)
 	// Fetch fetches the encoded table from a member, and returns the bytes received too. It must
@@ -79,6 +99,9 @@
 	// not poll reads the table once at its start and then receives changes from members. Nil
 	// means that it always polls.
 	ShouldPoll func() bool
+	// Slot returns the place of this node among those that poll, from 0, and their number. Nil
+	// stands for the only one.
+	Slot func() (slot, slots int)
 	// OnAnnounced is called with each announced version that is higher than all before. It may
 	// be nil.
 	OnAnnounced func(member string, version uint64)
@@ -173,15 +196,16 @@
 		p.known = p.known && era <= p.era
 		snapshot, operation, err := f.next(ctx, p)
 		var historyLost *HistoryError
+		var overdue *OverdueError
 		switch {
 		case ctx.Err() != nil:
 			return
 		case p.known && f.highestEra() > p.era:
 			// The position of an earlier era says nothing about the changes in this one.
 			p.known = false
-		case errors.As(err, &historyLost):
-			// The table is read again without a backoff, since losing history does not
-			// indicate an outage.
+		case errors.As(err, &historyLost), errors.As(err, &overdue):
+			// The table is read again without a backoff, since neither indicates an outage.
+			// A read that fails too is followed by one.
 			f.report(operation, err)
 			p.known = false
 		case err != nil:
@@ -210,6 +234,9 @@
 	era uint64
 	// known is false if the table must be read.
 	known bool
+	// clock is the time of the store's clock at the time reached.
+	clock   time.Duration
+	reached time.Time
 }
 
 // after returns the position of a snapshot. It is not known if the snapshot ends a wait during
@@ -220,6 +247,9 @@
 		number: s.Position,
 		era:    max(s.Era, era),
 		known:  !restored,
+		clock:  s.Clock,
+
+		reached: time.Now(),
 	}
 }
 
@@ -262,7 +292,7 @@
 	}
 	f.mu.Unlock()
 	started := time.Now()
-	snapshot, err := f.WaitForChange(ctx, p.number, maxWait)
+	snapshot, err := f.WaitForChange(ctx, p.number, f.waitTime(p))
 	f.reportTransfer("wait", "store", started, len(snapshot.Encoded), err)
 	f.mu.Lock()
 	f.cancelWait = nil
@@ -270,6 +300,22 @@
 	return snapshot, "wait", err
 }
 
+// waitTime returns the time until the next end of this node's waits. Those of all nodes that poll are
+// waitInterval apart by the store's clock, also after a change has ended all waits at once.
+func (f *Follower) waitTime(p position) time.Duration {
+	slot, slots := 0, 1
+	if f.Slot != nil {
+		slot, slots = f.Slot()
+	}
+	cycle := time.Duration(slots) * waitInterval
+	passed := (p.clock + time.Since(p.reached)) % cycle
+	wait := (time.Duration(slot)*waitInterval - passed + cycle) % cycle
+	if wait < minWait {
+		wait += cycle
+	}
+	return min(wait, maxWait)
+}
+
 // read reads the table from the store.
 func (f *Follower) read(ctx context.Context) (Snapshot, error) {
 	started := time.Now()
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -78,7 +78,9 @@
 func runFollower(t *testing.T, f *Follower, s *store) {
 	t.Helper()
 	f.Read = s.read
-	f.WaitForChange = s.wait
+	if f.WaitForChange == nil {
+		f.WaitForChange = s.wait
+	}
 	f.Decode = decodeNumber
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
