Send the request target byte for byte

Cause: http.Request.Write builds the target from URL.RequestURI, which puts the scheme and a colon before an opaque part, or a path, that begins with two slashes. Both interfaces were affected.

Change: exchanger writes RequestURI as the target; both paths set it.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -94,7 +94,8 @@
 }
 
 // Exchange sends r and returns the response once its header is read. The caller must
-// read the body to its end or close it. If the response arrives before the whole request
+// read the body to its end or close it. If r.RequestURI is set, it is sent as the request target,
+// byte for byte. If the response arrives before the whole request
 // body was sent, r.Body may still be read until shortly after the response body ends.
 // Errors are *ConnectError, *NotSentError and *ExchangeError. They wrap a *BodyError if
 // reading r.Body failed while the response was awaited; if a body that is sent before the
@@ -248,7 +249,7 @@
 
 // write sends a whole request.
 func (x *exchange) write(r *http.Request) error {
-	if err := r.Write(x.c.writer); err != nil {
+	if err := writeRequest(x.c.writer, r); err != nil {
 		return err
 	}
 	return x.c.writer.Flush()
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -116,9 +116,14 @@
 		// Keeps http.Request.Write from adding its default User-Agent.
 		h["User-Agent"] = []string{""}
 	}
+	target := ""
+	if strings.HasPrefix(r.RequestURI, "/") {
+		target = r.RequestURI
+	}
 	return &http.Request{
 		Method:        r.Method,
 		URL:           r.URL,
+		RequestURI:    target,
 		Host:          r.Host,
 		Header:        h,
 		Body:          b.open(),
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -184,7 +183,8 @@
 	}
 	out := &http.Request{
 		Method:        r.Method,
-		URL:           requestTarget(r),
+		URL:           r.URL,
+		RequestURI:    r.RequestURI,
 		Host:          r.Host,
 		Header:        h,
 		Body:          http.NoBody,
@@ -196,20 +196,6 @@
 	return out
 }
 
-// requestTarget returns a URL that is written exactly as it was in the request line.
-func requestTarget(r *http.Request) *url.URL {
-	if r.RequestURI == "" {
-		return r.URL
-	}
-	path, query, found := bytes.Cut([]byte(r.RequestURI), []byte("?"))
-	return &url.URL{
-		// Opaque, because url.Parse would take a path that begins with two slashes for a host.
-		Opaque:     string(path),
-		RawQuery:   string(query),
-		ForceQuery: found && len(query) == 0,
-	}
-}
-
 // writeMargin is the time after the deadline of a request in which its response may still be
 // written. A receiver that reads slowly holds the memory of the response no longer.
 const writeMargin = 2 * time.Second
