Let OPTIONS * reach the node's handlers

Cause: http.Server answers it before the handler unless it is told not to.

Change: the server's own handler is off on all listeners of both kinds of nodes. No route matches "*", so the answer is 404.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -439,6 +439,8 @@
 				ReadHeaderTimeout: readHeaderTimeout,
 				IdleTimeout:       b.idle,
 				MaxHeaderBytes:    maxHeaderBytes,
+				// "OPTIONS *" is a request like others, and no route matches it.
+				DisableGeneralOptionsHandler: true,
 			},
 		}
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -250,6 +250,8 @@
 				ReadHeaderTimeout: readHeaderTimeout,
 				IdleTimeout:       serverIdleTimeout,
 				MaxHeaderBytes:    maxHeaderBytes,
+				// "OPTIONS *" is a request like others, and no route matches it.
+				DisableGeneralOptionsHandler: true,
 			},
 		})
 	}
