Count the waits of TestWaitsFollowChanges between two of them

Cause: it counted at a multiple of waitInterval, at which a wait ends and the next one begins; which of the goroutines ran first decided the count. It counts half an interval later now, as exactly, and for two minutes, which take less time under the race detector.

--- a/internal/follower/lost_test.go
+++ b/internal/follower/lost_test.go
@@ -119,12 +119,14 @@
 				Slot:          func() (int, int) { return slot, nodes },
 			}, &s.store)
 		}
-		time.Sleep(time.Minute)
+		const watched = 2 * time.Minute
+		// All waits begin and end at multiples of waitInterval, so that none does when they are counted.
+		time.Sleep(watched + waitInterval/2)
 		before := s.waits.Load()
-		time.Sleep(10 * time.Minute)
-		is.Equal(s.waits.Load()-before, int64(10*time.Minute/waitInterval))
+		time.Sleep(watched)
+		is.Equal(s.waits.Load()-before, int64(watched/waitInterval))
 		s.version.Store(2)
-		time.Sleep(10 * time.Minute)
-		is.True(s.waits.Load()-before <= 2*int64(10*time.Minute/waitInterval)+nodes)
+		time.Sleep(watched)
+		is.True(s.waits.Load()-before <= 2*int64(watched/waitInterval)+nodes)
 	})
 }
