--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -26,7 +26,11 @@
 
 func main() {
 	cases := map[string]func(rec *record, trouble bool) (int, error){
+		"born":   bornCase,
+		"gone":   goneCase,
+		"leave":  leaveCase,
 		"memory": memoryCase,
+		"unread": unreadCase,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: cases NAME RECORD")
