--- a/review/lab2/leave.go
+++ b/review/lab2/leave.go
@@ -51,12 +51,12 @@
 // confirmed.
 func unreadCase(rec *record, trouble bool) (int, error) {
 	return departure(rec, trouble, leavePlan{
-		desks:     12,
-		leaving:   3,
+		desks:     24,
+		leaving:   6,
 		leave:     time.Second,
 		storeDown: 2 * time.Second,
-		kill:      2500 * time.Millisecond,
-		storeUp:   10500 * time.Millisecond,
+		kill:      2200 * time.Millisecond,
+		storeUp:   11 * time.Second,
 		exit:      20 * time.Second,
 		end:       22 * time.Second,
 	})
