--- a/review/lab2/born.go
+++ b/review/lab2/born.go
@@ -64,8 +64,8 @@
 		rec.say("%s leaves and exits: status %d, error %v", second.id, status, err)
 		second.crash()
 	})
-	outcomes := l.signoffs(begin, bornTraffic).outcomes
-	if l.judgeDrain(second, outcomes, <-confirmed, begin) {
+	seen := l.signoffs(begin, bornTraffic).all
+	if l.judgeDrain(second, seen, <-confirmed, begin) {
 		return broken, nil
 	}
 	return held, nil
--- a/review/lab2/leave.go
+++ b/review/lab2/leave.go
@@ -63,20 +63,20 @@
 }
 
 // signoffs sends sign-offs to all nodes by turns until the end of the traffic.
-func (l *lab) signoffs(begin time.Time, length time.Duration) *kept {
-	var k kept
+func (l *lab) signoffs(begin time.Time, length time.Duration) *outcomes {
+	var x outcomes
 	var wg sync.WaitGroup
 	rate := leaveRate * time.Duration(len(l.nodes))
 	for i := range int(length * rate / time.Second) {
 		time.Sleep(time.Until(begin.Add(time.Duration(i) * time.Second / rate)))
 		wg.Go(func() {
 			if o, err := l.nodes[i%len(l.nodes)].once(context.Background(), signoff(3*time.Second)); err == nil {
-				k.add(o)
+				x.add(o)
 			}
 		})
 	}
 	wg.Wait()
-	return &k
+	return &x
 }
 
 // departure plays a plan.
@@ -126,11 +126,11 @@
 		})
 		at(p.kill, l.restartAll)
 	}
-	outcomes := l.signoffs(begin, p.end).outcomes
+	seen := l.signoffs(begin, p.end).all
 	departed.Wait()
 	code := held
 	for i, u := range l.upstreams[:p.leaving] {
-		if l.judgeDrain(u, outcomes, confirmed[i], begin.Add(p.storeUp+stability)) {
+		if l.judgeDrain(u, seen, confirmed[i], begin.Add(p.storeUp+stability)) {
 			code = broken
 		}
 	}
@@ -174,13 +174,13 @@
 
 // judgeDrain reports whether DRAIN is broken: a request that was sent after touch has reached an upstream
 // later than drain_s after its departure was confirmed.
-func (l *lab) judgeDrain(leaving *upstream, outcomes []outcome, confirmed, touch time.Time) bool {
+func (l *lab) judgeDrain(leaving *upstream, seen []outcome, confirmed, touch time.Time) bool {
 	if confirmed.IsZero() {
 		l.rec.say("the departure of %s was not confirmed", leaving.id)
 		return false
 	}
 	byID := make(map[string]outcome)
-	for _, o := range outcomes {
+	for _, o := range seen {
 		byID[o.id] = o
 	}
 	late, failed := 0, 0
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -29,7 +29,6 @@
 		"born":   bornCase,
 		"gone":   goneCase,
 		"leave":  leaveCase,
-		"memory": memoryCase,
 		"unread": unreadCase,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- a/review/lab2/node.go
+++ b/review/lab2/node.go
@@ -9,7 +9,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"time"
 )
 
@@ -170,18 +169,6 @@
 	}
 }
 
-// memory returns a field of the process's status in kilobytes.
-func (n *node) memory(field string) int {
-	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
-	for line := range strings.Lines(string(b)) {
-		if name, value, ok := strings.Cut(line, ":"); ok && name == field {
-			kb, _ := strconv.Atoi(strings.Fields(value)[0])
-			return kb
-		}
-	}
-	return 0
-}
-
 // ready asks the process as the platform does.
 func (n *node) ready() bool {
 	c := http.Client{Timeout: time.Second}
--- a/review/lab2/requester.go
+++ b/review/lab2/requester.go
@@ -155,6 +155,18 @@
 	return err
 }
 
+// outcomes collects what requesters have seen.
+type outcomes struct {
+	mu  sync.Mutex
+	all []outcome
+}
+
+func (x *outcomes) add(o outcome) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.all = append(x.all, o)
+}
+
 // once sends a request on a connection of its own.
 func (n *node) once(ctx context.Context, q request) (outcome, error) {
 	c, err := dial(n.at(portCallers))
