review: case 13, two crashes quarantine a request that many send

Requests that run at two upstreams as these crash are refused by all nodes for ten minutes, though the same request runs well elsewhere all the while.

--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -16,6 +16,7 @@
 	"names": playNames,
 	"slow":  playSlow,
 	"crash": playCrash,
+	"calls": playCalls,
 }
 
 func main() {
