--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -17,6 +17,7 @@
 	"slow":  playSlow,
 	"crash": playCrash,
 	"calls": playCalls,
+	"quota": playQuota,
 }
 
 func main() {
--- a/review/lab3/store.go
+++ b/review/lab3/store.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -30,8 +31,8 @@
 	rows    map[[3]string]storeRow
 	history []storeRow
 	version uint64
-	// busy is set while every call is answered with 503.
-	busy bool
+	// downParts are the parts that are unavailable: calls about them are answered with 503.
+	downParts map[string]bool
 }
 
 func startStore(ip string) (*store, error) {
@@ -43,6 +44,8 @@
 		address: l.Addr().String(),
 		changed: make(chan struct{}),
 		rows:    make(map[[3]string]storeRow),
+
+		downParts: make(map[string]bool),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /gentianlever/rows-tx", s.transaction)
@@ -50,13 +53,6 @@
 	mux.HandleFunc("GET /gentianlever/rows-feed", s.feed)
 	go func() {
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			s.mu.Lock()
-			busy := s.busy
-			s.mu.Unlock()
-			if busy {
-				w.WriteHeader(http.StatusServiceUnavailable)
-				return
-			}
 			time.Sleep(4 * time.Millisecond)
 			mux.ServeHTTP(w, r)
 		}))
@@ -78,10 +74,11 @@
 	})
 }
 
-func (s *store) setBusy(busy bool) {
+// setDownPart makes a part unavailable, or available again.
+func (s *store) setDownPart(part string, down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.busy = busy
+	s.downParts[part] = down
 }
 
 // apply writes or deletes a row. The caller holds s.mu.
@@ -109,6 +106,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, row := range slices.Concat(t.Preconditions, t.Writes, t.Deletes) {
+		if s.downParts[row.Part] {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	}
 	var current []storeRow
 	held := true
 	for _, p := range t.Preconditions {
@@ -156,6 +159,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.downParts[q.Get("part")] {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	var found []storeRow
 	for _, row := range s.rows {
 		if row.Table == q.Get("table") && row.Part == q.Get("part") && row.Key >= q.Get("from") &&
