--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -18,6 +18,7 @@
 	"crash": playCrash,
 	"calls": playCalls,
 	"quota": playQuota,
+	"drain": playDrain,
 }
 
 func main() {
--- a/review/lab3/upstream.go
+++ b/review/lab3/upstream.go
@@ -91,10 +91,14 @@
 	}
 }
 
-func (u *upstream) report() bool {
+func (u *upstream) report() bool { return u.m.call("instances.heartbeat", u.id, u.reportBody()) }
+
+// reportBody returns the next status report.
+func (u *upstream) reportBody() map[string]any {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	u.sequence++
-	body := map[string]any{
+	return map[string]any{
 		"service":          u.m.service,
 		"address":          u.m.at(u.m.ports.app),
 		"zone":             u.m.zone,
@@ -105,8 +109,6 @@
 		"sequence":         u.sequence,
 		"born":             u.born,
 	}
-	u.mu.Unlock()
-	return u.m.call("instances.heartbeat", u.id, body)
 }
 
 func (u *upstream) load() string {
