--- a/review/lab3/fleet.go
+++ b/review/lab3/fleet.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -142,11 +141,8 @@
 }
 
 // send sends a request on a connection of its own and reads the answer.
-func (m *machine) send(q request) answer { return m.sendUntil(context.Background(), q) }
-
-// sendUntil is like send, but closes the connection when ctx ends.
-func (m *machine) sendUntil(ctx context.Context, q request) answer {
-	r, err := http.NewRequestWithContext(ctx, q.method, "http://"+m.at(m.ports.outbound)+q.path, strings.NewReader(q.body))
+func (m *machine) send(q request) answer {
+	r, err := http.NewRequest(q.method, "http://"+m.at(m.ports.outbound)+q.path, strings.NewReader(q.body))
 	if err != nil {
 		return answer{err: err}
 	}
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -16,7 +16,6 @@
 	"names": playNames,
 	"slow":  playSlow,
 	"crash": playCrash,
-	"calls": playCalls,
 	"quota": playQuota,
 	"drain": playDrain,
 }
--- a/review/lab3/upstream.go
+++ b/review/lab3/upstream.go
@@ -35,8 +35,6 @@
 	brief bool
 	// work returns how long a request runs.
 	work func(r *http.Request) time.Duration
-	// run, if it is set, takes the place of work, and runs on when the connection closes.
-	run func(r *http.Request)
 
 	mu       sync.Mutex
 	state    string
@@ -163,15 +161,10 @@
 	}
 	u.running++
 	u.arrivals = append(u.arrivals, a)
-	run := u.run
 	u.mu.Unlock()
-	if run != nil {
-		run(r)
-	} else {
-		select {
-		case <-time.After(u.work(r)):
-		case <-r.Context().Done():
-		}
+	select {
+	case <-time.After(u.work(r)):
+	case <-r.Context().Done():
 	}
 	u.mu.Lock()
 	u.running--
@@ -210,10 +203,3 @@
 	defer u.mu.Unlock()
 	u.brief = true
 }
-
-// setRun makes the upstream one that does not drop a request when its connection closes.
-func (u *upstream) setRun(run func(r *http.Request)) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.run = run
-}
