--- a/review/lab3/crash.go
+++ b/review/lab3/crash.go
@@ -60,7 +60,7 @@
 			r.printf("the upstream is back")
 		})
 	}
-	p := playStreams(r, f.machines[crashed:], []stream{
+	p := playStreams(r, f.machines, []stream{
 		{
 			name:  "/search/",
 			every: 50 * time.Millisecond,
@@ -69,7 +69,7 @@
 		{
 			name:  "/notices/",
 			later: true,
-			every: 8 * time.Millisecond,
+			every: 5500 * time.Microsecond,
 			path:  func(int) string { return "/notices/2f" },
 		},
 	}, 45*time.Second, crashFrom+crashTime+6*time.Second, 2500*time.Millisecond)
