--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -18,6 +18,7 @@
 	"crash": playCrash,
 	"quota": playQuota,
 	"drain": playDrain,
+	"surge": playSurge,
 }
 
 func main() {
